--- /dev/null
+++ b/bench/src/main/java/org/landingtrack/bench/SendCommand.java
@@ -0,0 +1,83 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.bench;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Locale;
+import org.apache.commons.cli.CommandLine;
+import org.landingtrack.internal.base.Json;
+
+/**
+ * Sends the prompts of a file, in order, to the gateways in turn. Each line of the file is a JSON
+ * object: {@code system} names a file whose text comes first, {@code question} is the short part,
+ * and {@code pause_ms} is waited before it is sent.
+ */
+final class SendCommand {
+  private static final long READ_MS = 30_000;
+
+  private SendCommand() {}
+
+  static int run(CommandLine line) throws IOException, InterruptedException {
+    Path file = Path.of(line.getOptionValue("file"));
+    String[] gateways = line.getOptionValue("gateways").split(",", -1);
+    CallerClient client = new CallerClient(READ_MS);
+    int failed = 0;
+    int number = 0;
+    System.out.println("first line | time to first token | share recomputed | backend server | id");
+    for (String text : Files.readAllLines(file)) {
+      if (text.isBlank()) {
+        continue;
+      }
+      JsonNode prompt = Json.LENIENT.readTree(text);
+      Thread.sleep(prompt.path("pause_ms").asLong(0));
+      String system = Files.readString(file.resolveSibling(prompt.path("system").asText()));
+      CallerClient.Answer answer =
+          client.ask(
+              gateways[number++ % gateways.length],
+              new CallerClient.Ask(
+                  line.getOptionValue("service"),
+                  line.getOptionValue("key"),
+                  system,
+                  prompt.path("question").asText(),
+                  prompt.path("max_tokens").asInt(16),
+                  10_000,
+                  false,
+                  ""));
+      print(answer);
+      failed += answer.whole() ? 0 : 1;
+    }
+    return failed == 0 ? 0 : 1;
+  }
+
+  private static void print(CallerClient.Answer answer) {
+    if (!answer.whole()) {
+      System.out.println("FAILED with " + answer.status() + " " + answer.kind());
+      return;
+    }
+    double recomputed = 1 - (double) answer.cachedTokens() / Math.max(1, answer.promptTokens());
+    System.out.printf(
+        Locale.ROOT,
+        "%s | %.0f ms | %.2f | %s | %s%n",
+        answer.text().lines().findFirst().orElse(""),
+        answer.ttftMs(),
+        recomputed,
+        answer.server(),
+        answer.requestId());
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/landingtrack/bench/package-info.java
@@ -0,0 +1,3 @@
+/** The load tool and the measurements of landingtrack. Not part of the product. */
+@org.jspecify.annotations.NullMarked
+package org.landingtrack.bench;
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/admission/FairQueue.java
@@ -0,0 +1,207 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.admission;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeSet;
+import java.util.function.IntSupplier;
+import org.jspecify.annotations.Nullable;
+import org.landingtrack.ErrorKind;
+import org.landingtrack.LandingtrackException;
+import org.landingtrack.internal.base.Ticker;
+
+/**
+ * Lets requests of one service through to its backend servers, a bounded number at a time, fair
+ * between teams by weight (start-time fair queueing).
+ *
+ * <p>A request that cannot make its deadline is refused at once with a time to come back; it is
+ * never held until it has become hopeless. When the queue is full, the team that waits with more
+ * than its share gives up its newest request to a team below its share. Thread-safe.
+ */
+public final class FairQueue {
+  private static final double SMOOTHING = 0.1;
+  private static final double FIRST_HOLD_MS = 500;
+  private static final int MAX_RETRY_AFTER_S = 60;
+
+  private final Ticker ticker;
+  private final IntSupplier slots;
+  private final int maxWaiting;
+  private final TreeSet<Waiter> waiting =
+      new TreeSet<>(
+          Comparator.comparingDouble((Waiter w) -> w.start).thenComparingLong(w -> w.order));
+  private final Map<String, Double> lastFinish = new HashMap<>();
+  private final Map<String, Integer> waitingOfTeam = new HashMap<>();
+  private double virtualTime;
+  private long nextOrder;
+  private int running;
+  private double holdMs = FIRST_HOLD_MS;
+
+  private enum State {
+    WAITING,
+    ADMITTED,
+    EVICTED
+  }
+
+  private static final class Waiter {
+    private final String team;
+    private final double weight;
+    private final double start;
+    private final long order;
+    private State state = State.WAITING;
+
+    Waiter(String team, double weight, double start, long order) {
+      this.team = team;
+      this.weight = weight;
+      this.start = start;
+      this.order = order;
+    }
+  }
+
+  /**
+   * Creates a queue.
+   *
+   * @param slots how many requests may run now; asked again each time
+   */
+  public FairQueue(Ticker ticker, IntSupplier slots, int maxWaiting) {
+    this.ticker = ticker;
+    this.slots = slots;
+    this.maxWaiting = maxWaiting;
+  }
+
+  /**
+   * Waits for a slot, at most until the deadline; after success {@link #leave} must follow.
+   *
+   * @param weight the team's weight, doubled for each step of priority by the caller
+   */
+  public synchronized void enter(String team, double weight, long deadlineMs)
+      throws InterruptedException {
+    if (running < slots.getAsInt() && waiting.isEmpty()) {
+      running++;
+      return;
+    }
+    Waiter waiter = enqueue(team, weight, deadlineMs);
+    admitNext();
+    while (waiter.state == State.WAITING) {
+      long leftMs = deadlineMs - ticker.millis();
+      if (leftMs <= 0) {
+        remove(waiter);
+        throw refuse("no backend server became free before the deadline");
+      }
+      wait(Math.min(leftMs, 1_000));
+      admitNext();
+    }
+    if (waiter.state == State.EVICTED) {
+      throw refuse("the queue is full and team " + team + " waits with more than its share");
+    }
+  }
+
+  private Waiter enqueue(String team, double weight, long deadlineMs) {
+    double expectedMs = expectedWaitMs(waiting.size() + 1);
+    if (expectedMs > deadlineMs - ticker.millis()) {
+      throw refuse("the expected wait is longer than the deadline");
+    }
+    if (waiting.size() >= maxWaiting && !evictFor(team, weight)) {
+      throw refuse("the queue is full");
+    }
+    double start = Math.max(virtualTime, lastFinish.getOrDefault(team, 0.0));
+    Waiter waiter = new Waiter(team, weight, start, nextOrder++);
+    lastFinish.put(team, start + 1 / weight);
+    waiting.add(waiter);
+    waitingOfTeam.merge(team, 1, Integer::sum);
+    return waiter;
+  }
+
+  /** Makes room if some team waits with more than the newcomer's team would, for its weight. */
+  private boolean evictFor(String team, double weight) {
+    double own = (waitingOfTeam.getOrDefault(team, 0) + 1) / weight;
+    @Nullable Waiter victim = null;
+    double most = own;
+    for (Waiter waiter : waiting) {
+      double held = waitingOfTeam.getOrDefault(waiter.team, 0) / waiter.weight;
+      boolean worse = held > most || (victim != null && waiter.team.equals(victim.team));
+      if (worse) {
+        most = Math.max(most, held);
+        victim = waiter;
+      }
+    }
+    if (victim == null) {
+      return false;
+    }
+    remove(victim);
+    victim.state = State.EVICTED;
+    refund(victim);
+    notifyAll();
+    return true;
+  }
+
+  private void refund(Waiter waiter) {
+    lastFinish.computeIfPresent(waiter.team, (team, finish) -> finish - 1 / waiter.weight);
+  }
+
+  private void remove(Waiter waiter) {
+    if (waiting.remove(waiter)) {
+      waitingOfTeam.computeIfPresent(waiter.team, (t, n) -> n <= 1 ? null : n - 1);
+    }
+  }
+
+  private void admitNext() {
+    boolean any = false;
+    while (running < slots.getAsInt() && !waiting.isEmpty()) {
+      Waiter next = waiting.first();
+      remove(next);
+      next.state = State.ADMITTED;
+      virtualTime = Math.max(virtualTime, next.start);
+      running++;
+      any = true;
+    }
+    if (waiting.isEmpty() && running == 0) {
+      lastFinish.clear();
+      virtualTime = 0;
+    }
+    if (any) {
+      notifyAll();
+    }
+  }
+
+  /** Notes that an admitted request ended after so long. */
+  public synchronized void leave(long heldMs) {
+    running--;
+    holdMs += SMOOTHING * (heldMs - holdMs);
+    admitNext();
+  }
+
+  private double expectedWaitMs(int position) {
+    return position * holdMs / Math.max(1, slots.getAsInt());
+  }
+
+  private LandingtrackException refuse(String why) {
+    double waitMs = expectedWaitMs(waiting.size() + 1);
+    int seconds = (int) Math.min(MAX_RETRY_AFTER_S, Math.max(1, Math.ceil(waitMs / 1000)));
+    return new LandingtrackException(ErrorKind.OVERLOADED, why, seconds);
+  }
+
+  /** Returns the number of waiting requests. */
+  public synchronized int waiting() {
+    return waiting.size();
+  }
+
+  /** Returns the number of running requests. */
+  public synchronized int running() {
+    return running;
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/base/Logs.java
@@ -0,0 +1,69 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.base;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.encoder.JsonEncoder;
+import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.ConsoleAppender;
+import ch.qos.logback.core.encoder.Encoder;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Sets up logging once for a process. The logger's name is the fixed prefix of its part. */
+public final class Logs {
+  private static final String PATTERN = "%d{HH:mm:ss.SSS} %-5level [%logger] %msg%n";
+
+  private Logs() {}
+
+  /**
+   * Writes to standard error.
+   *
+   * @param format {@code text} or {@code json}
+   * @param level a Logback level, for example {@code info}
+   */
+  public static void configure(String format, String level) {
+    LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+    context.reset();
+    ConsoleAppender<ILoggingEvent> appender = new ConsoleAppender<>();
+    appender.setContext(context);
+    appender.setTarget("System.err");
+    appender.setEncoder(encoder(format, context));
+    appender.start();
+    ch.qos.logback.classic.Logger root = context.getLogger(Logger.ROOT_LOGGER_NAME);
+    root.setLevel(Level.toLevel(level, Level.INFO));
+    root.addAppender(appender);
+    for (String noisy : new String[] {"org.eclipse.jetty", "io.javalin", "io.grpc"}) {
+      context.getLogger(noisy).setLevel(Level.WARN);
+    }
+  }
+
+  private static Encoder<ILoggingEvent> encoder(String format, LoggerContext context) {
+    if (format.equals("json")) {
+      JsonEncoder json = new JsonEncoder();
+      json.setContext(context);
+      json.start();
+      return json;
+    }
+    PatternLayoutEncoder text = new PatternLayoutEncoder();
+    text.setContext(context);
+    text.setPattern(PATTERN);
+    text.start();
+    return text;
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/base/Ticker.java
@@ -0,0 +1,30 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.base;
+
+/**
+ * A monotonic clock. It never goes back and has no relation to the time of day.
+ *
+ * @since 0.1
+ */
+@FunctionalInterface
+public interface Ticker {
+  /** The clock of this process. */
+  Ticker SYSTEM = () -> System.nanoTime() / 1_000_000;
+
+  /** Returns milliseconds since some fixed point. */
+  long millis();
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/caller/CallerAnswer.java
@@ -0,0 +1,101 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.caller;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.landingtrack.LandingtrackException;
+import org.landingtrack.internal.base.Json;
+
+/** The JSON shapes of answers to callers. */
+final class CallerAnswer {
+  private CallerAnswer() {}
+
+  /** Returns the body of an error answer: kind, whether it ran, when to come back. */
+  static ObjectNode error(String requestId, LandingtrackException e) {
+    ObjectNode body = Json.LENIENT.createObjectNode();
+    ObjectNode error = body.putObject("error");
+    error.put("kind", e.kind().name());
+    error.put("message", e.getMessage());
+    error.put("ran", e.kind().runState().label());
+    error.put("request_id", requestId);
+    if (e.retryAfterSeconds() > 0) {
+      error.put("retry_after_s", e.retryAfterSeconds());
+    }
+    return body;
+  }
+
+  /** Returns one chunk of a streamed answer. */
+  static ObjectNode chunk(String requestId, String model, String text) {
+    ObjectNode body = Json.LENIENT.createObjectNode();
+    body.put("id", requestId);
+    body.put("object", "chat.completion.chunk");
+    body.put("model", model);
+    ObjectNode choice = body.putArray("choices").addObject();
+    choice.put("index", 0);
+    choice.putObject("delta").put("content", text);
+    choice.putNull("finish_reason");
+    return body;
+  }
+
+  /** Returns the last chunk, which says how the answer came about. */
+  static ObjectNode lastChunk(
+      String requestId, String model, org.landingtrack.internal.dispatch.DispatchReport report) {
+    ObjectNode body = Json.LENIENT.createObjectNode();
+    body.put("id", requestId);
+    body.put("object", "chat.completion.chunk");
+    body.put("model", model);
+    ObjectNode choice = body.putArray("choices").addObject();
+    choice.put("index", 0);
+    choice.putObject("delta");
+    choice.put("finish_reason", "stop");
+    report(body, report);
+    return body;
+  }
+
+  /** Returns a whole answer. */
+  static ObjectNode whole(
+      String requestId,
+      String model,
+      String text,
+      org.landingtrack.internal.dispatch.DispatchReport report) {
+    ObjectNode body = Json.LENIENT.createObjectNode();
+    body.put("id", requestId);
+    body.put("object", "chat.completion");
+    body.put("model", model);
+    ObjectNode choice = body.putArray("choices").addObject();
+    choice.put("index", 0);
+    ObjectNode message = choice.putObject("message");
+    message.put("role", "assistant");
+    message.put("content", text);
+    choice.put("finish_reason", "stop");
+    report(body, report);
+    return body;
+  }
+
+  private static void report(
+      ObjectNode body, org.landingtrack.internal.dispatch.DispatchReport report) {
+    ObjectNode usage = body.putObject("usage");
+    usage.put("prompt_tokens", report.usage().promptTokens());
+    usage.put("completion_tokens", report.usage().completionTokens());
+    usage.put("total_tokens", report.usage().promptTokens() + report.usage().completionTokens());
+    usage.putObject("prompt_tokens_details").put("cached_tokens", report.usage().cachedTokens());
+    ObjectNode own = body.putObject("landingtrack");
+    own.put("backend_server", report.server());
+    own.put("weight_version", report.weightVersion());
+    own.put("ttft_ms", report.ttftMs());
+    own.put("attempts", report.attempts());
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/caller/SseWriter.java
@@ -0,0 +1,84 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.caller;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.javalin.http.Context;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import org.jspecify.annotations.Nullable;
+import org.landingtrack.internal.dispatch.DispatchReport;
+import org.landingtrack.internal.engine.CallerGoneException;
+
+/** Sends each token on as a server-sent event. */
+final class SseWriter implements AnswerSink {
+  private final Context ctx;
+  private final String requestId;
+  private final String model;
+  private @Nullable OutputStream out;
+
+  SseWriter(Context ctx, String requestId, String model) {
+    this.ctx = ctx;
+    this.requestId = requestId;
+    this.model = model;
+  }
+
+  @Override
+  public void token(int offset, String text) {
+    send(CallerAnswer.chunk(requestId, model, text).toString());
+  }
+
+  @Override
+  public void end(DispatchReport report) {
+    send(CallerAnswer.lastChunk(requestId, model, report).toString());
+    send("[DONE]");
+  }
+
+  private void send(String data) {
+    try {
+      OutputStream open = open();
+      open.write(("data: " + data + "\n\n").getBytes(StandardCharsets.UTF_8));
+      open.flush();
+    } catch (IOException e) {
+      throw new CallerGoneException(e);
+    }
+  }
+
+  private OutputStream open() throws IOException {
+    OutputStream known = out;
+    if (known != null) {
+      return known;
+    }
+    ctx.res().setContentType("text/event-stream");
+    ctx.res().setCharacterEncoding("utf-8");
+    ctx.res().setHeader("Cache-Control", "no-store");
+    OutputStream opened = ctx.res().getOutputStream();
+    out = opened;
+    return opened;
+  }
+
+  /** Sends an error into a stream that has begun; the end mark is left out. */
+  static void tryError(Context ctx, ObjectNode body) {
+    try {
+      OutputStream out = ctx.res().getOutputStream();
+      out.write(("event: error\ndata: " + body + "\n\n").getBytes(StandardCharsets.UTF_8));
+      out.flush();
+    } catch (IOException e) {
+      // The caller is gone; there is nobody to tell.
+    }
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/caller/package-info.java
@@ -0,0 +1,3 @@
+/** The callers' HTTP interface. */
+@org.jspecify.annotations.NullMarked
+package org.landingtrack.internal.caller;
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/catalog/Model.java
@@ -0,0 +1,42 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.catalog;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import java.util.List;
+
+/**
+ * A model.
+ *
+ * @param contextTokens longest prompt and answer together, in tokens
+ * @param kvBytesPerToken size of the kept state of one token, in bytes
+ */
+public record Model(
+    @JsonProperty(required = true) int contextTokens,
+    @JsonProperty(required = true) int kvBytesPerToken)
+    implements Spec {
+
+  @Override
+  public void check() {
+    Checks.range("contextTokens", contextTokens, 1, 100_000_000);
+    Checks.range("kvBytesPerToken", kvBytesPerToken, 1, 100_000_000);
+  }
+
+  @Override
+  public List<Reference> references() {
+    return List.of();
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/catalog/Service.java
@@ -0,0 +1,78 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.catalog;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A service that callers name in their requests.
+ *
+ * @param type {@code model} (chat completions), {@code plain} (HTTP calls) or {@code store} (kept
+ *     KV state; not for callers)
+ * @param weightVersion the version that new requests use; only for type model
+ * @param weightTtft weight of a millisecond of time to first token in the routing cost
+ * @param weightRecompute weight of a recomputed token
+ * @param weightLink weight of a megabyte moved over a link
+ * @param linkBytesPerSecond budget for restores and exports of this service in a data centre
+ * @param maxQueue requests that may wait in a gateway
+ * @param retryPercent retries allowed, in percent of the requests
+ * @param store the service of type store that keeps this service's KV state; empty for none
+ */
+public record Service(
+    @JsonProperty(required = true) String type,
+    @Nullable String weightVersion,
+    double weightTtft,
+    double weightRecompute,
+    double weightLink,
+    long linkBytesPerSecond,
+    int maxQueue,
+    double retryPercent,
+    @Nullable String store)
+    implements Spec {
+
+  @Override
+  public void check() {
+    Checks.matches("type", type, "model|plain|store", "model, plain or store");
+    if (isModel() && weightVersion == null) {
+      throw new IllegalArgumentException("weightVersion must be given for type model");
+    }
+    if (!isModel() && weightVersion != null) {
+      throw new IllegalArgumentException("weightVersion is only for type model");
+    }
+    Checks.range("weightTtft", weightTtft, 0, 1e6);
+    Checks.range("weightRecompute", weightRecompute, 0, 1e6);
+    Checks.range("weightLink", weightLink, 0, 1e6);
+    Checks.range("linkBytesPerSecond", (double) linkBytesPerSecond, 0, 1e13);
+    Checks.range("maxQueue", maxQueue, 0, 100_000);
+    Checks.range("retryPercent", retryPercent, 0, 100);
+  }
+
+  /** Returns true if requests run on model engines. */
+  public boolean isModel() {
+    return type.equals("model");
+  }
+
+  @Override
+  public List<Reference> references() {
+    if (weightVersion == null) {
+      return List.of();
+    }
+    Reference version = new Reference(Kind.WEIGHT_VERSION, weightVersion);
+    return store == null ? List.of(version) : List.of(version, new Reference(Kind.SERVICE, store));
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/catalog/Team.java
@@ -0,0 +1,53 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.catalog;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import java.util.List;
+
+/**
+ * A team whose callers use the system.
+ *
+ * @param keySha256 SHA-256 in hex of each key that its callers may show
+ * @param requestsPerSecond sustained rate over all gateways
+ * @param burst requests that may come at once
+ * @param concurrency requests in flight over all gateways
+ * @param weight share of a busy service relative to other teams
+ */
+public record Team(
+    @JsonProperty(required = true) List<String> keySha256,
+    double requestsPerSecond,
+    int burst,
+    int concurrency,
+    double weight)
+    implements Spec {
+
+  @Override
+  public void check() {
+    for (String hash : keySha256) {
+      Checks.matches("keySha256", hash, "[0-9a-f]{64}", "64 hex digits");
+    }
+    Checks.range("requestsPerSecond", requestsPerSecond, 0.1, 100_000);
+    Checks.range("burst", burst, 1, 100_000);
+    Checks.range("concurrency", concurrency, 1, 100_000);
+    Checks.range("weight", weight, 0.01, 1_000);
+  }
+
+  @Override
+  public List<Reference> references() {
+    return List.of();
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/claim/ClaimCommitter.java
@@ -0,0 +1,185 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.claim;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
+import org.landingtrack.internal.base.Duty;
+import org.landingtrack.internal.base.Json;
+import org.landingtrack.internal.claim.ClaimShard.Commit;
+import org.landingtrack.internal.claim.ClaimShard.Outcome;
+import org.landingtrack.internal.claim.ClaimShard.Verdict;
+import org.landingtrack.internal.claim.ClaimShard.Wish;
+import org.landingtrack.internal.platform.ObjectApi;
+import org.landingtrack.internal.platform.ObjectApi.CallClass;
+import org.landingtrack.internal.platform.PlatformException;
+import org.landingtrack.internal.platform.StoredObject;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Commits the claims of one shard in groups: those that come while a commit is under way go
+ * together into the next one.
+ *
+ * <p>The conditional update is the fence. Two controllers that both think they own the shard, or
+ * one that was paused, cannot both succeed from the same version; the one that loses reads again
+ * and decides again. So no lease is needed. Thread-safe.
+ */
+public final class ClaimCommitter implements AutoCloseable {
+  private static final Logger log = LoggerFactory.getLogger("claim");
+  private static final int MAX_WAITING = 4_096;
+  private static final int MAX_TRIES = 6;
+  private static final Verdict UNAVAILABLE = new Verdict(Outcome.UNAVAILABLE, "");
+
+  private final ObjectApi api;
+  private final String key;
+  private final LongSupplier wallClock;
+  private final Duty duty;
+  private final List<Waiting> waiting = new ArrayList<>();
+  private final Set<String> abandoned = new HashSet<>();
+  private boolean scheduled;
+  private ClaimShard known = ClaimShard.empty();
+  private long knownVersion = -1;
+
+  private record Waiting(Wish wish, CompletableFuture<Verdict> verdict) {}
+
+  public ClaimCommitter(ObjectApi api, String shard, LongSupplier wallClock) {
+    this.api = api;
+    this.key = "claims/" + shard;
+    this.wallClock = wallClock;
+    this.duty = Duty.start("claim-" + shard, 16);
+  }
+
+  /** Asks for a claim; the future never fails. */
+  public CompletableFuture<Verdict> claim(Wish wish) {
+    CompletableFuture<Verdict> verdict = new CompletableFuture<>();
+    synchronized (waiting) {
+      if (waiting.size() >= MAX_WAITING) {
+        verdict.complete(UNAVAILABLE);
+        return verdict;
+      }
+      waiting.add(new Waiting(wish, verdict));
+      if (!scheduled) {
+        scheduled = duty.offer(this::commitWaiting);
+      }
+    }
+    return verdict;
+  }
+
+  /**
+   * Gives up the claim of a request that is known never to run, so that its caller may come again
+   * with the same key. It goes with the next group; if it is lost, the key merely stays claimed
+   * until it expires.
+   */
+  public void release(String by) {
+    synchronized (waiting) {
+      if (abandoned.size() >= MAX_WAITING) {
+        return;
+      }
+      abandoned.add(by);
+      if (!scheduled) {
+        scheduled = duty.offer(this::commitWaiting);
+      }
+    }
+  }
+
+  private void commitWaiting() {
+    List<Waiting> group;
+    Set<String> released;
+    synchronized (waiting) {
+      group = List.copyOf(waiting);
+      released = Set.copyOf(abandoned);
+      waiting.clear();
+      scheduled = false;
+    }
+    List<Verdict> verdicts = commit(group.stream().map(Waiting::wish).toList(), released);
+    for (int i = 0; i < group.size(); i++) {
+      Waiting one = group.get(i);
+      Verdict verdict = verdicts.get(i);
+      if (verdict.outcome() == Outcome.UNAVAILABLE) {
+        abandon(one.wish.by());
+      }
+      one.verdict.complete(verdict);
+    }
+  }
+
+  /** A write without an answer may still hold this claim; its request is refused and never runs. */
+  private void abandon(String by) {
+    synchronized (waiting) {
+      if (abandoned.size() < MAX_WAITING) {
+        abandoned.add(by);
+      }
+    }
+  }
+
+  /** Commits a group; every wish is UNAVAILABLE if the platform does not confirm. */
+  List<Verdict> commit(List<Wish> wishes, Set<String> released) {
+    for (int tries = 0; tries < MAX_TRIES; tries++) {
+      try {
+        if (knownVersion < 0) {
+          readBack();
+        }
+        ClaimShard base = known.without(released);
+        Commit commit = base.decide(wishes, wallClock.getAsLong());
+        // Without a change the verdicts rest on claims that were committed before: safe as it is.
+        if (commit.changed() || base.claims().size() != known.claims().size()) {
+          write(commit.next());
+        }
+        forgetReleased(released);
+        return commit.verdicts();
+      } catch (PlatformException e) {
+        knownVersion = -1;
+        if (e.reason() == PlatformException.Reason.UNAVAILABLE) {
+          log.warn("Claims of {} cannot be committed: {}.", key, e.getMessage());
+          break;
+        }
+        // After a conflict or a lost answer the next try reads back what is there.
+      }
+    }
+    return wishes.stream().map(wish -> UNAVAILABLE).toList();
+  }
+
+  private void write(ClaimShard next) {
+    StoredObject written = api.write(CallClass.CLAIM, key, Json.write(next), knownVersion);
+    known = next;
+    knownVersion = written.version();
+  }
+
+  private void forgetReleased(Set<String> released) {
+    synchronized (waiting) {
+      abandoned.removeAll(released);
+    }
+  }
+
+  private void readBack() {
+    Optional<StoredObject> stored = api.read(CallClass.CLAIM, key);
+    known =
+        stored
+            .map(object -> Json.read(key, object.value(), ClaimShard.class))
+            .orElseGet(ClaimShard::empty);
+    knownVersion = stored.map(StoredObject::version).orElse(ObjectApi.ABSENT);
+  }
+
+  @Override
+  public void close() {
+    duty.close();
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/cli/Ctl.java
@@ -0,0 +1,452 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.cli;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.json.JsonReadFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.grpc.Metadata;
+import io.grpc.Status;
+import io.grpc.StatusRuntimeException;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.landingtrack.operators.v1.AuditEntry;
+import org.landingtrack.operators.v1.AuditRequest;
+import org.landingtrack.operators.v1.CatalogObject;
+import org.landingtrack.operators.v1.DeleteRequest;
+import org.landingtrack.operators.v1.ExplainReply;
+import org.landingtrack.operators.v1.ExplainRequest;
+import org.landingtrack.operators.v1.GetRequest;
+import org.landingtrack.operators.v1.ListReply;
+import org.landingtrack.operators.v1.ListRequest;
+import org.landingtrack.operators.v1.Member;
+import org.landingtrack.operators.v1.PutReply;
+import org.landingtrack.operators.v1.PutRequest;
+import org.landingtrack.operators.v1.RolloutReply;
+import org.landingtrack.operators.v1.RolloutRequest;
+import org.landingtrack.operators.v1.StatusReply;
+import org.landingtrack.operators.v1.StatusRequest;
+
+/** The operators' command {@code landingtrack ctl}. */
+final class Ctl {
+  static final String VERBS =
+      """
+      verbs:
+        apply FILE                 create or update every object in FILE
+        get KIND NAME              show one object
+        list KIND                  list the objects of a kind
+        delete KIND NAME           delete one object
+        drain NAME, undrain NAME   stop or resume new work for a backend server
+        load SERVICE VERSION       roll a service over to a weight version
+        rollback SERVICE           roll it back to the version before
+        status                     show the controller and its members
+        explain SUBJECT            explain a request id or KIND/NAME
+        audit [KIND [NAME]]        show changes, newest first
+      """;
+
+  private static final JsonMapper FILES =
+      JsonMapper.builder()
+          .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
+          .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
+          .build();
+  private static final Metadata.Key<String> KIND =
+      Metadata.Key.of("landingtrack-kind", Metadata.ASCII_STRING_MARSHALLER);
+  private static final long ANY_VERSION = -1;
+  private static final String SERVER = "backend-server";
+  private static final String SERVICE = "service";
+
+  private final OperatorClient client;
+  private final PrintStream out;
+  private final boolean json;
+  private final boolean dryRun;
+  private final long expectedVersion;
+  private final long waitMs;
+  private final int limit;
+
+  private Ctl(OperatorClient client, CommandLine line, PrintStream out) {
+    this.client = client;
+    this.out = out;
+    this.json = line.getOptionValue("output", "table").equals("json");
+    this.dryRun = line.hasOption("dry-run");
+    this.expectedVersion = number(line, "expected-version", ANY_VERSION);
+    this.waitMs = 1_000 * number(line, "wait", 0);
+    this.limit = (int) number(line, "limit", 100);
+  }
+
+  static Options options() {
+    return new Options()
+        .addOption(value("controller", "ADDRESS", "operators' address of any controller"))
+        .addOption(value("key", "KEY", "operator key; else the variable LANDINGTRACK_KEY"))
+        .addOption(value("output", "FORMAT", "table or json"))
+        .addOption(value("expected-version", "N", "refuse if another version is current"))
+        .addOption(value("wait", "SECONDS", "wait until the change is in force everywhere"))
+        .addOption(value("limit", "N", "entries at most"))
+        .addOption(Option.builder().longOpt("dry-run").desc("check, but change nothing").get());
+  }
+
+  private static Option value(String name, String arg, String text) {
+    return Option.builder().longOpt(name).hasArg().argName(arg).desc(text).get();
+  }
+
+  private static long number(CommandLine line, String name, long fallback) {
+    String text = line.getOptionValue(name);
+    if (text == null) {
+      return fallback;
+    }
+    try {
+      return Long.parseLong(text);
+    } catch (NumberFormatException e) {
+      throw new UsageException("--" + name + " must be a whole number, not '" + text + "'");
+    }
+  }
+
+  static int run(CommandLine line, List<String> words, PrintStream out, PrintStream err) {
+    if (words.isEmpty()) {
+      throw new UsageException("a verb is missing\n" + VERBS);
+    }
+    String address = line.getOptionValue("controller");
+    if (address == null) {
+      throw new UsageException("--controller is missing");
+    }
+    String key = line.getOptionValue("key", System.getenv().getOrDefault("LANDINGTRACK_KEY", ""));
+    try (OperatorClient client = new OperatorClient(address, key)) {
+      return new Ctl(client, line, out).verb(words);
+    } catch (StatusRuntimeException e) {
+      err.println("landingtrack ctl: " + describe(e));
+      return ExitCodes.FAILED;
+    }
+  }
+
+  private static String describe(StatusRuntimeException e) {
+    Metadata trailers = Status.trailersFromThrowable(e);
+    String kind = trailers == null ? null : trailers.get(KIND);
+    String description = e.getStatus().getDescription();
+    String text = description == null ? e.getStatus().getCode().toString() : description;
+    return (kind == null ? e.getStatus().getCode().toString() : kind) + ": " + text;
+  }
+
+  private int verb(List<String> words) {
+    String verb = words.get(0);
+    switch (verb) {
+      case "apply" -> apply(Path.of(word(words, 1, "FILE")));
+      case "get" -> get(word(words, 1, "KIND"), word(words, 2, "NAME"));
+      case "list" -> list(word(words, 1, "KIND"));
+      case "delete" -> delete(word(words, 1, "KIND"), word(words, 2, "NAME"));
+      case "drain" -> drain(word(words, 1, "NAME"), true);
+      case "undrain" -> drain(word(words, 1, "NAME"), false);
+      case "load" -> load(word(words, 1, "SERVICE"), word(words, 2, "VERSION"));
+      case "rollback" -> rollback(word(words, 1, "SERVICE"));
+      case "status" -> status();
+      case "explain" -> {
+        return explain(word(words, 1, "SUBJECT"));
+      }
+      case "audit" -> audit(words);
+      default -> throw new UsageException("unknown verb '" + verb + "'\n" + VERBS);
+    }
+    return ExitCodes.DONE;
+  }
+
+  private static String word(List<String> words, int index, String name) {
+    if (index >= words.size()) {
+      throw new UsageException(words.get(0) + " needs " + name);
+    }
+    return words.get(index);
+  }
+
+  /** A file holds {@code {"objects": [{"kind": …, "name": …, "spec": {…}}, …]}}. */
+  private void apply(Path file) {
+    JsonNode root = readFile(file);
+    JsonNode objects = root.path("objects");
+    if (!objects.isArray()) {
+      throw new UsageException(file + ": the key 'objects' must hold a list");
+    }
+    long revision = 0;
+    for (JsonNode object : objects) {
+      String kind = object.path("kind").asText();
+      String name = object.path("name").asText();
+      PutReply reply = put(kind, name, object.path("spec").toString(), expectedVersion);
+      revision = Math.max(revision, reply.getRevision());
+    }
+    if (!dryRun) {
+      awaitInForce(revision);
+    }
+  }
+
+  private static JsonNode readFile(Path file) {
+    try {
+      return FILES.readTree(Files.readString(file));
+    } catch (JsonProcessingException e) {
+      throw new UsageException(
+          file + ":" + e.getLocation().getLineNr() + ": " + e.getOriginalMessage());
+    } catch (IOException e) {
+      throw new UsageException(file + ": the file cannot be read");
+    }
+  }
+
+  private PutReply put(String kind, String name, String spec, long expected) {
+    CatalogObject object =
+        CatalogObject.newBuilder().setKind(kind).setName(name).setSpecJson(spec).build();
+    PutReply reply =
+        client
+            .call()
+            .put(
+                PutRequest.newBuilder()
+                    .setObject(object)
+                    .setExpectedVersion(expected)
+                    .setDryRun(dryRun)
+                    .build());
+    report(kind, name, reply);
+    return reply;
+  }
+
+  private void report(String kind, String name, PutReply reply) {
+    if (json) {
+      ObjectNode node = FILES.createObjectNode();
+      node.put("kind", kind);
+      node.put("name", name);
+      node.put("version", reply.getVersion());
+      node.put("revision", reply.getRevision());
+      node.put("change_id", reply.getChangeId());
+      node.put("changed", reply.getChanged());
+      out.println(node);
+      return;
+    }
+    String what =
+        !reply.getChanged()
+            ? "unchanged"
+            : dryRun ? "would change" : "changed by " + reply.getChangeId();
+    out.println(kind + "/" + name + " version " + reply.getVersion() + " " + what);
+  }
+
+  private void awaitInForce(long revision) {
+    if (waitMs == 0 || revision == 0) {
+      return;
+    }
+    long began = System.nanoTime();
+    while (true) {
+      RolloutReply reply =
+          client.call().rollout(RolloutRequest.newBuilder().setRevision(revision).build());
+      double seconds = (System.nanoTime() - began) / 1e9;
+      if (reply.getInForce() >= reply.getLive()) {
+        out.printf(Locale.ROOT, "in force on all %d after %.1f s%n", reply.getLive(), seconds);
+        return;
+      }
+      if (seconds * 1000 > waitMs) {
+        out.printf(
+            Locale.ROOT,
+            "in force on %d of %d after %.1f s%n",
+            reply.getInForce(),
+            reply.getLive(),
+            seconds);
+        return;
+      }
+      try {
+        Thread.sleep(50);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return;
+      }
+    }
+  }
+
+  private CatalogObject read(String kind, String name) {
+    return client.call().get(GetRequest.newBuilder().setKind(kind).setName(name).build());
+  }
+
+  private void get(String kind, String name) {
+    show(read(kind, name));
+  }
+
+  private void show(CatalogObject object) {
+    if (json) {
+      ObjectNode node = FILES.createObjectNode();
+      node.put("kind", object.getKind());
+      node.put("name", object.getName());
+      node.put("version", object.getVersion());
+      node.put("revision", object.getRevision());
+      node.set("spec", parse(object.getSpecJson()));
+      out.println(node);
+      return;
+    }
+    out.printf(
+        "%-40s %4d  %s%n",
+        object.getKind() + "/" + object.getName(), object.getVersion(), object.getSpecJson());
+  }
+
+  private static JsonNode parse(String text) {
+    try {
+      return FILES.readTree(text);
+    } catch (JsonProcessingException e) {
+      throw new UsageException("the controller sent what is not JSON");
+    }
+  }
+
+  private void list(String kind) {
+    String after = "";
+    int shown = 0;
+    while (true) {
+      ListReply reply =
+          client
+              .call()
+              .list(ListRequest.newBuilder().setKind(kind).setAfter(after).setLimit(100).build());
+      for (CatalogObject object : reply.getObjectsList()) {
+        if (shown++ < limit) {
+          show(object);
+        }
+      }
+      after = reply.getNext();
+      if (after.isEmpty() || shown >= limit) {
+        return;
+      }
+    }
+  }
+
+  private void delete(String kind, String name) {
+    PutReply reply =
+        client
+            .call()
+            .delete(
+                DeleteRequest.newBuilder()
+                    .setKind(kind)
+                    .setName(name)
+                    .setExpectedVersion(expectedVersion)
+                    .build());
+    report(kind, name, reply);
+    awaitInForce(reply.getRevision());
+  }
+
+  private void drain(String name, boolean draining) {
+    CatalogObject object = read(SERVER, name);
+    ObjectNode spec = (ObjectNode) parse(object.getSpecJson());
+    spec.put("draining", draining);
+    awaitInForce(put(SERVER, name, spec.toString(), object.getVersion()).getRevision());
+  }
+
+  private void load(String service, String version) {
+    CatalogObject object = read(SERVICE, service);
+    ObjectNode spec = (ObjectNode) parse(object.getSpecJson());
+    spec.put("weightVersion", version);
+    awaitInForce(put(SERVICE, service, spec.toString(), object.getVersion()).getRevision());
+  }
+
+  private void rollback(String service) {
+    String current = parse(read(SERVICE, service).getSpecJson()).path("weightVersion").asText();
+    for (AuditEntry entry : auditEntries(SERVICE, service)) {
+      String before = entry.getBefore().isEmpty() ? "{}" : entry.getBefore();
+      String version = parse(before).path("weightVersion").asText();
+      if (!version.isEmpty() && !version.equals(current)) {
+        load(service, version);
+        return;
+      }
+    }
+    throw new UsageException("the audit trail of " + service + " names no other weight version");
+  }
+
+  private void status() {
+    StatusReply reply = client.call().status(StatusRequest.getDefaultInstance());
+    if (json) {
+      ObjectNode node = FILES.createObjectNode();
+      node.put("vm", reply.getVm());
+      node.put("data_centre", reply.getDataCentre());
+      node.put("revision", reply.getRevision());
+      node.put("objects", reply.getObjects());
+      node.put("platform_reachable", reply.getPlatformReachable());
+      for (Member member : reply.getMembersList()) {
+        node.withArray("members")
+            .addObject()
+            .put("vm", member.getVm())
+            .put("data_centre", member.getDataCentre())
+            .put("state", member.getState())
+            .put("incarnation", member.getIncarnation());
+      }
+      out.println(node);
+      return;
+    }
+    out.println("controller   " + reply.getVm() + " in " + reply.getDataCentre());
+    out.println("revision     " + reply.getRevision() + ", " + reply.getObjects() + " objects");
+    out.println("platform     " + (reply.getPlatformReachable() ? "answers" : "does not answer"));
+    for (Member member : reply.getMembersList()) {
+      out.printf(
+          "member       %-24s %-20s %s%n",
+          member.getVm(), member.getDataCentre(), member.getState());
+    }
+  }
+
+  private int explain(String subject) {
+    ExplainReply reply =
+        client.call().explain(ExplainRequest.newBuilder().setSubject(subject).build());
+    if (!reply.getKnown()) {
+      out.println("Nothing is known about " + subject + " (any more).");
+      return ExitCodes.FAILED;
+    }
+    if (json) {
+      ObjectNode node = FILES.createObjectNode();
+      reply.getSentencesList().forEach(node.withArray("sentences")::add);
+      out.println(node);
+      return ExitCodes.DONE;
+    }
+    reply.getSentencesList().forEach(out::println);
+    return ExitCodes.DONE;
+  }
+
+  private List<AuditEntry> auditEntries(String kind, String name) {
+    return client
+        .call()
+        .audit(AuditRequest.newBuilder().setKind(kind).setName(name).setLimit(limit).build())
+        .getEntriesList();
+  }
+
+  private void audit(List<String> words) {
+    List<String> filter = new ArrayList<>(words.subList(1, words.size()));
+    String kind = filter.isEmpty() ? "" : filter.get(0);
+    String name = filter.size() < 2 ? "" : filter.get(1);
+    for (AuditEntry entry : auditEntries(kind, name)) {
+      if (json) {
+        ObjectNode node = FILES.createObjectNode();
+        node.put("change_id", entry.getChangeId());
+        node.put("at", Instant.ofEpochMilli(entry.getAtMs()).toString());
+        node.put("operator", entry.getOperator());
+        node.put("from", entry.getFrom());
+        node.put("subject", entry.getSubject());
+        node.put("action", entry.getAction());
+        node.put("version", entry.getVersion());
+        node.put("before", entry.getBefore());
+        node.put("after", entry.getAfter());
+        out.println(node);
+        continue;
+      }
+      out.printf(
+          "%s  %-12s %-7s %-36s version %d  %s%n",
+          Instant.ofEpochMilli(entry.getAtMs()),
+          entry.getOperator(),
+          entry.getAction(),
+          entry.getSubject(),
+          entry.getVersion(),
+          entry.getChangeId());
+    }
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/cli/OperatorClient.java
@@ -0,0 +1,60 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.cli;
+
+import io.grpc.ManagedChannel;
+import io.grpc.Metadata;
+import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder;
+import io.grpc.stub.MetadataUtils;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import org.landingtrack.operators.v1.OperatorsGrpc;
+import org.landingtrack.operators.v1.OperatorsGrpc.OperatorsBlockingStub;
+
+/** A connection to one controller's operators' interface. */
+final class OperatorClient implements AutoCloseable {
+  private static final Metadata.Key<String> KEY =
+      Metadata.Key.of("operator-key", Metadata.ASCII_STRING_MARSHALLER);
+  private static final long DEADLINE_S = 30;
+
+  private final ManagedChannel channel;
+  private final OperatorsBlockingStub stub;
+
+  OperatorClient(String address, String operatorKey) {
+    int colon = address.lastIndexOf(':');
+    if (colon < 0) {
+      throw new UsageException("--controller must be an address such as 127.0.0.1:7200");
+    }
+    InetSocketAddress target =
+        new InetSocketAddress(
+            address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+    this.channel = NettyChannelBuilder.forAddress(target).usePlaintext().build();
+    Metadata headers = new Metadata();
+    headers.put(KEY, operatorKey);
+    this.stub =
+        OperatorsGrpc.newBlockingStub(channel)
+            .withInterceptors(MetadataUtils.newAttachHeadersInterceptor(headers));
+  }
+
+  OperatorsBlockingStub call() {
+    return stub.withDeadlineAfter(DEADLINE_S, TimeUnit.SECONDS);
+  }
+
+  @Override
+  public void close() {
+    channel.shutdownNow();
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/cli/ProcessCommand.java
@@ -0,0 +1,77 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.landingtrack.internal.base.Logs;
+import org.landingtrack.internal.controller.ControllerProcess;
+import org.landingtrack.internal.gateway.GatewayProcess;
+import org.landingtrack.internal.settings.ControllerSettings;
+import org.landingtrack.internal.settings.GatewaySettings;
+
+/** Runs the gateway and the controller, and checks their settings. */
+final class ProcessCommand {
+  private static final JsonMapper PEEK =
+      JsonMapper.builder()
+          .enable(com.fasterxml.jackson.core.json.JsonReadFeature.ALLOW_JAVA_COMMENTS)
+          .enable(com.fasterxml.jackson.core.json.JsonReadFeature.ALLOW_TRAILING_COMMA)
+          .build();
+
+  private ProcessCommand() {}
+
+  static int gateway(Path file) throws InterruptedException {
+    GatewaySettings settings = GatewaySettings.read(file);
+    Logs.configure(settings.logFormat(), settings.logLevel());
+    GatewayProcess process = GatewayProcess.start(settings);
+    Runtime.getRuntime().addShutdownHook(new Thread(process::close, "stop"));
+    process.await();
+    return ExitCodes.DONE;
+  }
+
+  static int controller(Path file) throws InterruptedException {
+    ControllerSettings settings = ControllerSettings.read(file);
+    Logs.configure(settings.logFormat(), settings.logLevel());
+    ControllerProcess process = ControllerProcess.start(settings);
+    Runtime.getRuntime().addShutdownHook(new Thread(process::close, "stop"));
+    process.await();
+    return ExitCodes.DONE;
+  }
+
+  /** Reads a file by the key {@code process} in it, so that one command checks both kinds. */
+  static int check(Path file) {
+    if (isGateway(file)) {
+      var unused = GatewaySettings.read(file);
+    } else {
+      var unused = ControllerSettings.read(file);
+    }
+    System.out.println(file + ": ok");
+    return ExitCodes.DONE;
+  }
+
+  private static boolean isGateway(Path file) {
+    try {
+      JsonNode tree = PEEK.readTree(Files.readString(file));
+      return tree != null && tree.path("process").asText().equals("gateway");
+    } catch (IOException e) {
+      // The checked reading names the fault with its line.
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/cli/package-info.java
@@ -0,0 +1,3 @@
+/** The command line. */
+@org.jspecify.annotations.NullMarked
+package org.landingtrack.internal.cli;
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/config/ConfigFeed.java
@@ -0,0 +1,240 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.config;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.landingtrack.internal.base.Duty;
+import org.landingtrack.internal.membership.Member;
+import org.landingtrack.internal.membership.MembershipService;
+import org.landingtrack.internal.peer.Messages.ConfigAnswer;
+import org.landingtrack.internal.peer.Messages.ConfigPull;
+import org.landingtrack.internal.peer.Messages.RevisionAnswer;
+import org.landingtrack.internal.peer.Messages.RevisionQuery;
+import org.landingtrack.internal.peer.PeerClient;
+import org.landingtrack.internal.peer.PeerException;
+import org.landingtrack.internal.platform.Backoff;
+import org.landingtrack.internal.platform.ObjectApi;
+import org.landingtrack.internal.platform.ObjectApi.CallClass;
+import org.landingtrack.internal.platform.ObjectApi.Listing;
+import org.landingtrack.internal.platform.PlatformException;
+import org.landingtrack.internal.platform.StoredObject;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Keeps a controller's {@link ConfigReplica} fresh: watches the platform if the controller stands
+ * first in the {@link RelayTree}, else pulls from its parent; and compares itself with a random
+ * member every second. A new controller starts from its peers, so that a restart of many VMs does
+ * not fall on the platform, and starts at all while the platform is out.
+ */
+public final class ConfigFeed implements AutoCloseable {
+  private static final Logger log = LoggerFactory.getLogger("config");
+  private static final String PREFIX = "config/";
+  private static final int PAGE = 500;
+  private static final long WATCH_MS = 10_000;
+  private static final int PULL_MS = 5_000;
+  private static final int CALL_SLACK_MS = 2_000;
+  private static final long COMPARE_EVERY_MS = 1_000;
+
+  private final ObjectApi api;
+  private final PeerClient peers;
+  private final MembershipService membership;
+  private final ConfigReplica replica;
+  private final RandomGenerator random;
+  private final Backoff backoff;
+  private final Thread feeder;
+  private final Duty comparer;
+  private long watchedRevision = -1;
+  private volatile boolean closed;
+
+  public ConfigFeed(
+      ObjectApi api,
+      PeerClient peers,
+      MembershipService membership,
+      ConfigReplica replica,
+      RandomGenerator random) {
+    this.api = api;
+    this.peers = peers;
+    this.membership = membership;
+    this.replica = replica;
+    this.random = random;
+    this.backoff = new Backoff(random, 100, 5_000);
+    this.feeder = Duty.daemon("config-feed").newThread(this::feed);
+    this.comparer = Duty.start("config-compare", 4);
+  }
+
+  /** Starts feeding. */
+  public void start() {
+    feeder.start();
+    comparer.every(COMPARE_EVERY_MS, this::compare);
+  }
+
+  private void feed() {
+    while (!closed) {
+      try {
+        feedOnce();
+        backoff.reset();
+      } catch (PlatformException | PeerException e) {
+        log.debug("No configuration now: {}.", e.getMessage());
+        pause();
+      }
+    }
+  }
+
+  private void pause() {
+    try {
+      Thread.sleep(backoff.nextMs());
+    } catch (InterruptedException e) {
+      closed = true;
+    }
+  }
+
+  private void feedOnce() {
+    Optional<String> parent = parentAddress();
+    if (parent.isPresent()) {
+      watchedRevision = -1;
+      pull(parent.get(), PULL_MS);
+      return;
+    }
+    if (watchedRevision < 0) {
+      if (!replica.isComplete()) {
+        tryPeersFirst();
+      }
+      listAll();
+      return;
+    }
+    watch();
+  }
+
+  private Optional<String> parentAddress() {
+    Member self = membership.self();
+    List<Member> local = new ArrayList<>();
+    for (Member member : membership.usable()) {
+      if (member.dataCentre().equals(self.dataCentre())) {
+        local.add(member);
+      }
+    }
+    List<String> names = local.stream().map(Member::vm).toList();
+    Optional<String> parent = RelayTree.parent(self.vm(), self.dataCentre(), names);
+    return parent.flatMap(
+        vm -> local.stream().filter(m -> m.vm().equals(vm)).map(Member::address).findFirst());
+  }
+
+  private void tryPeersFirst() {
+    for (Member member : others()) {
+      try {
+        pull(member.address(), 0);
+        if (replica.isComplete()) {
+          return;
+        }
+      } catch (PeerException e) {
+        log.debug("Peer {} has no configuration for us: {}.", member.vm(), e.getMessage());
+      }
+    }
+  }
+
+  private List<Member> others() {
+    List<Member> others = new ArrayList<>(membership.usable());
+    others.removeIf(member -> member.vm().equals(membership.self().vm()));
+    return others;
+  }
+
+  private void pull(String address, long waitMs) {
+    long after = replica.isComplete() ? replica.revision() : -1;
+    ConfigPull request = new ConfigPull(membership.self().vm(), false, after, waitMs);
+    ConfigAnswer answer =
+        peers.call(address, request, ConfigAnswer.class, (int) waitMs + CALL_SLACK_MS);
+    if (answer.complete() && replica.merge(Math.max(0, after), answer.delta())) {
+      log.info("Revision {} came from peer {}.", replica.revision(), address);
+    }
+  }
+
+  /** Lists page by page; the watch then starts where the first page was taken. */
+  private void listAll() {
+    long start = -1;
+    String after = "";
+    List<ConfigEntry> entries = new ArrayList<>();
+    while (true) {
+      Listing page = api.list(CallClass.CONFIGURATION, PREFIX, after, PAGE);
+      if (start < 0) {
+        start = page.revision();
+      }
+      page.objects().forEach(object -> entries.add(entry(object)));
+      if (page.objects().size() < PAGE) {
+        break;
+      }
+      after = page.objects().get(page.objects().size() - 1).key();
+    }
+    merge(entries);
+    watchedRevision = start;
+  }
+
+  private void watch() {
+    try {
+      Listing changes = api.watch(CallClass.CONFIGURATION, PREFIX, watchedRevision, WATCH_MS);
+      merge(changes.objects().stream().map(ConfigFeed::entry).toList());
+      watchedRevision = Math.max(watchedRevision, changes.revision());
+    } catch (PlatformException e) {
+      if (e.reason() != PlatformException.Reason.TOO_OLD) {
+        throw e;
+      }
+      log.info("The watch fell behind; everything is listed again.");
+      watchedRevision = -1;
+    }
+  }
+
+  /** The revision of a copy is that of its newest entry, so that other writes do not move it. */
+  private void merge(List<ConfigEntry> entries) {
+    long newest = replica.revision();
+    for (ConfigEntry entry : entries) {
+      newest = Math.max(newest, entry.revision());
+    }
+    if (replica.merge(replica.revision(), new ConfigDelta(newest, entries))) {
+      log.info("Revision {} came from the platform.", replica.revision());
+    }
+  }
+
+  private static ConfigEntry entry(StoredObject object) {
+    return new ConfigEntry(object.key(), object.version(), object.revision(), object.value());
+  }
+
+  private void compare() {
+    List<Member> others = others();
+    if (others.isEmpty()) {
+      return;
+    }
+    Member other = others.get(random.nextInt(others.size()));
+    try {
+      RevisionAnswer answer =
+          peers.call(other.address(), new RevisionQuery(), RevisionAnswer.class, CALL_SLACK_MS);
+      if (answer.revision() > replica.revision()) {
+        pull(other.address(), 0);
+      }
+    } catch (PeerException e) {
+      log.debug("Member {} does not compare: {}.", other.vm(), e.getMessage());
+    }
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+    feeder.interrupt();
+    comparer.close();
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/controller/ControllerComponent.java
@@ -0,0 +1,70 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.controller;
+
+import dagger.Component;
+import jakarta.inject.Singleton;
+import org.landingtrack.internal.base.Metrics;
+import org.landingtrack.internal.claim.ClaimShards;
+import org.landingtrack.internal.config.ConfigFeed;
+import org.landingtrack.internal.config.ConfigReplica;
+import org.landingtrack.internal.directory.FeedFollower;
+import org.landingtrack.internal.directory.PrefixDirectory;
+import org.landingtrack.internal.explain.Explainer;
+import org.landingtrack.internal.kept.KeptStateKeeper;
+import org.landingtrack.internal.membership.MembershipService;
+import org.landingtrack.internal.operator.CatalogWriter;
+import org.landingtrack.internal.peer.PeerClient;
+import org.landingtrack.internal.peer.PeerServer;
+import org.landingtrack.internal.platform.HttpObjectApi;
+import org.landingtrack.internal.weights.WeightRoller;
+
+/** The parts of one controller, wired. */
+@Singleton
+@Component(modules = ControllerModule.class)
+interface ControllerComponent {
+  Metrics metrics();
+
+  HttpObjectApi objectApi();
+
+  PeerServer peerServer();
+
+  PeerClient peerClient();
+
+  MembershipService membership();
+
+  ConfigReplica replica();
+
+  ConfigFeed feed();
+
+  PrefixDirectory directory();
+
+  KeptStateKeeper kept();
+
+  FeedFollower follower();
+
+  ClaimShards claims();
+
+  Explainer explainer();
+
+  Gateways gateways();
+
+  CatalogWriter writer();
+
+  WeightRoller roller();
+
+  PeerRoutes routes();
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/controller/ControllerModule.java
@@ -0,0 +1,230 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.controller;
+
+import dagger.Module;
+import dagger.Provides;
+import jakarta.inject.Singleton;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.Supplier;
+import org.landingtrack.internal.base.Metrics;
+import org.landingtrack.internal.base.Ticker;
+import org.landingtrack.internal.catalog.Catalog;
+import org.landingtrack.internal.claim.ClaimShards;
+import org.landingtrack.internal.config.ConfigFeed;
+import org.landingtrack.internal.config.ConfigReplica;
+import org.landingtrack.internal.directory.FactRouter;
+import org.landingtrack.internal.directory.FeedFollower;
+import org.landingtrack.internal.directory.HttpCacheFeed;
+import org.landingtrack.internal.directory.PrefixDirectory;
+import org.landingtrack.internal.explain.Explainer;
+import org.landingtrack.internal.kept.HttpKeptStateClient;
+import org.landingtrack.internal.kept.KeptStateKeeper;
+import org.landingtrack.internal.lease.Lease;
+import org.landingtrack.internal.membership.Member;
+import org.landingtrack.internal.membership.Membership;
+import org.landingtrack.internal.membership.MembershipService;
+import org.landingtrack.internal.operator.CatalogWriter;
+import org.landingtrack.internal.peer.PeerClient;
+import org.landingtrack.internal.peer.PeerServer;
+import org.landingtrack.internal.platform.HttpObjectApi;
+import org.landingtrack.internal.platform.ObjectApi;
+import org.landingtrack.internal.settings.ControllerSettings;
+import org.landingtrack.internal.weights.HttpEngineOrders;
+import org.landingtrack.internal.weights.WeightRoller;
+
+/** Makes the parts of a controller. */
+@Module
+final class ControllerModule {
+  private static final int MAX_GROUPS = 200_000;
+  private static final int MAX_EXPLANATIONS = 20_000;
+  private static final long LEASE_MS = 6_000;
+
+  /** One controller's share of the platform's rates; the platform itself refuses beyond its own. */
+  private static final double READS_PER_SECOND = 50;
+
+  private static final double WRITES_PER_SECOND = 40;
+
+  private final ControllerSettings settings;
+
+  ControllerModule(ControllerSettings settings) {
+    this.settings = settings;
+  }
+
+  @Provides
+  @Singleton
+  Ticker ticker() {
+    return Ticker.SYSTEM;
+  }
+
+  @Provides
+  @Singleton
+  Metrics metrics() {
+    return new Metrics();
+  }
+
+  @Provides
+  @Singleton
+  HttpObjectApi httpObjectApi(Ticker ticker) {
+    return new HttpObjectApi(settings.objectApi(), ticker, READS_PER_SECOND, WRITES_PER_SECOND);
+  }
+
+  @Provides
+  ObjectApi objectApi(HttpObjectApi api) {
+    return api;
+  }
+
+  @Provides
+  @Singleton
+  PeerServer peerServer() {
+    return PeerServer.open(settings.host(), settings.peerPort());
+  }
+
+  @Provides
+  @Singleton
+  PeerClient peerClient() {
+    return new PeerClient();
+  }
+
+  /** The incarnation starts from the clock, so that a restarted VM outbids its own death. */
+  @Provides
+  @Singleton
+  MembershipService membership(PeerServer server, Ticker ticker) {
+    Member self =
+        new Member(
+            settings.vm(),
+            settings.dataCentre(),
+            settings.region(),
+            settings.host() + ":" + server.port(),
+            Member.State.ALIVE,
+            System.currentTimeMillis());
+    Membership membership = new Membership(self, settings.probeMs(), new SplittableRandom());
+    return new MembershipService(
+        membership, settings.host(), server.port(), settings.probeMs(), ticker);
+  }
+
+  @Provides
+  @Singleton
+  ConfigReplica replica() {
+    return new ConfigReplica();
+  }
+
+  @Provides
+  Supplier<Catalog> catalog(ConfigReplica replica) {
+    return replica::catalog;
+  }
+
+  @Provides
+  @Singleton
+  ConfigFeed feed(
+      ObjectApi api, PeerClient peers, MembershipService membership, ConfigReplica replica) {
+    return new ConfigFeed(api, peers, membership, replica, new SplittableRandom());
+  }
+
+  @Provides
+  @Singleton
+  PrefixDirectory directory() {
+    return new PrefixDirectory(MAX_GROUPS);
+  }
+
+  @Provides
+  @Singleton
+  KeptStateKeeper kept(Supplier<Catalog> catalog, PrefixDirectory directory, Ticker ticker) {
+    return new KeptStateKeeper(catalog, directory, new HttpKeptStateClient(), ticker);
+  }
+
+  @Provides
+  @Singleton
+  FactRouter facts(
+      MembershipService membership,
+      PeerClient peers,
+      PrefixDirectory directory,
+      KeptStateKeeper kept) {
+    return new FactRouter(
+        settings.vm(),
+        () -> local(membership),
+        peers,
+        directory,
+        batch -> {
+          directory.apply(batch);
+          kept.learned(batch);
+        });
+  }
+
+  @Provides
+  @Singleton
+  FeedFollower follower(Supplier<Catalog> catalog, MembershipService membership, FactRouter facts) {
+    return new FeedFollower(
+        settings.vm(),
+        settings.dataCentre(),
+        catalog,
+        () -> local(membership),
+        new HttpCacheFeed(),
+        facts);
+  }
+
+  private List<Member> local(MembershipService membership) {
+    return membership.usable().stream()
+        .filter(member -> member.dataCentre().equals(settings.dataCentre()))
+        .toList();
+  }
+
+  @Provides
+  @Singleton
+  ClaimShards claims(ObjectApi api) {
+    return new ClaimShards(api, System::currentTimeMillis);
+  }
+
+  @Provides
+  @Singleton
+  Explainer explainer() {
+    return new Explainer(MAX_EXPLANATIONS);
+  }
+
+  @Provides
+  @Singleton
+  Gateways gateways() {
+    return new Gateways();
+  }
+
+  @Provides
+  @Singleton
+  CatalogWriter writer(ObjectApi api, ConfigReplica replica) {
+    return new CatalogWriter(api, replica, System::currentTimeMillis, new SplittableRandom());
+  }
+
+  @Provides
+  @Singleton
+  WeightRoller roller(ObjectApi api, Supplier<Catalog> catalog, Ticker ticker) {
+    Lease lease =
+        new Lease(api, ticker, "weights-" + settings.dataCentre(), settings.vm(), LEASE_MS);
+    return new WeightRoller(settings.dataCentre(), catalog, lease, new HttpEngineOrders(), ticker);
+  }
+
+  @Provides
+  @Singleton
+  PeerRoutes routes(
+      ConfigReplica replica,
+      MembershipService membership,
+      PrefixDirectory directory,
+      KeptStateKeeper kept,
+      ClaimShards claims,
+      Explainer explainer,
+      Gateways gateways) {
+    return new PeerRoutes(replica, membership, directory, kept, claims, explainer, gateways);
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/controller/ControllerProcess.java
@@ -0,0 +1,271 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.controller;
+
+import io.javalin.Javalin;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import org.landingtrack.internal.base.Duty;
+import org.landingtrack.internal.base.HttpServers;
+import org.landingtrack.internal.caller.RequestIds;
+import org.landingtrack.internal.membership.Member;
+import org.landingtrack.internal.operator.OperatorServer;
+import org.landingtrack.internal.operator.OperatorService;
+import org.landingtrack.internal.operator.Rollouts;
+import org.landingtrack.internal.peer.Messages.ExplainAnswer;
+import org.landingtrack.internal.peer.Messages.ExplainQuery;
+import org.landingtrack.internal.peer.Messages.InForce;
+import org.landingtrack.internal.peer.Messages.InForceAnswer;
+import org.landingtrack.internal.peer.Messages.InForceQuery;
+import org.landingtrack.internal.peer.Messages.MemberInfo;
+import org.landingtrack.internal.peer.Messages.MembersAnswer;
+import org.landingtrack.internal.peer.Messages.MembersQuery;
+import org.landingtrack.internal.peer.PeerException;
+import org.landingtrack.internal.platform.HttpVmList;
+import org.landingtrack.internal.platform.PlatformException;
+import org.landingtrack.internal.platform.VmList;
+import org.landingtrack.internal.settings.ControllerSettings;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** A running controller. */
+public final class ControllerProcess implements AutoCloseable {
+  private static final Logger log = LoggerFactory.getLogger("controller");
+  private static final int HTTP_THREADS = 8;
+  private static final long HTTP_IDLE_MS = 30_000;
+  private static final long SEED_EVERY_MS = 2_000;
+  private static final int CALL_MS = 1_000;
+
+  private final ControllerSettings settings;
+  private final ControllerComponent parts;
+  private final Duty seeder = Duty.start("seed", 4);
+  private final OperatorServer operators;
+  private final Javalin http;
+  private final CountDownLatch stopped = new CountDownLatch(1);
+
+  private ControllerProcess(ControllerSettings settings, ControllerComponent parts) {
+    this.settings = settings;
+    this.parts = parts;
+    parts.routes().addTo(parts.peerServer());
+    OperatorService service =
+        new OperatorService(
+            parts.writer(),
+            parts.replica(),
+            parts.membership(),
+            parts.objectApi()::reachable,
+            this::inForce,
+            this::explain);
+    this.operators =
+        OperatorServer.open(
+            settings.host(), settings.operatorsPort(), service, settings.operators());
+    addMetrics();
+    this.http =
+        HttpServers.start(
+            settings.host(),
+            settings.httpPort(),
+            HTTP_THREADS,
+            HTTP_IDLE_MS,
+            parts.metrics(),
+            parts.replica()::isComplete,
+            config -> {});
+  }
+
+  /** Starts a controller; it runs until it is closed. */
+  public static ControllerProcess start(ControllerSettings settings) {
+    ControllerComponent parts =
+        DaggerControllerComponent.builder()
+            .controllerModule(new ControllerModule(settings))
+            .build();
+    ControllerProcess process = new ControllerProcess(settings, parts);
+    process.seed();
+    process.seeder.every(SEED_EVERY_MS, process::seed);
+    parts.feed().start();
+    parts.follower().start();
+    parts.roller().start();
+    log.info(
+        "Controller {} answers peers on {}, operators on {}, HTTP on {}.",
+        settings.vm(),
+        parts.peerServer().port(),
+        process.operators.port(),
+        process.http.port());
+    return process;
+  }
+
+  private void addMetrics() {
+    var metrics = parts.metrics();
+    metrics.gauge(
+        "landingtrack_config_revision", "Revision in force.", () -> parts.replica().revision());
+    metrics.gauge(
+        "landingtrack_members", "Usable controllers.", () -> parts.membership().usable().size());
+    metrics.gauge(
+        "landingtrack_directory_groups", "Prompt groups known.", () -> parts.directory().size());
+    metrics.gauge(
+        "landingtrack_followed_servers",
+        "Backend servers whose events are followed.",
+        () -> parts.follower().followed());
+    metrics.gauge(
+        "landingtrack_platform_reachable",
+        "1 while the Object API answers.",
+        () -> parts.objectApi().reachable() ? 1 : 0);
+  }
+
+  /** Learns of other controllers: from the VM list, and from the seeds in the settings. */
+  private void seed() {
+    List<Member> found = new ArrayList<>();
+    if (!settings.vmList().isEmpty()) {
+      found.addAll(listed());
+    }
+    if (parts.membership().usable().size() <= 1) {
+      for (String address : settings.seeds()) {
+        found.addAll(membersOf(address));
+      }
+    }
+    found.removeIf(member -> member.vm().equals(settings.vm()));
+    parts.membership().seed(found);
+  }
+
+  private List<Member> listed() {
+    List<Member> members = new ArrayList<>();
+    try {
+      for (VmList.Vm vm : new HttpVmList(settings.vmList()).vms()) {
+        if (vm.role().equals("entry") && !vm.leaving()) {
+          members.add(
+              new Member(
+                  vm.name(), vm.dataCentre(), vm.region(), vm.address(), Member.State.ALIVE, 0));
+        }
+      }
+    } catch (PlatformException e) {
+      log.debug("The VM list gives nothing: {}.", e.getMessage());
+    }
+    return members;
+  }
+
+  private List<Member> membersOf(String address) {
+    List<Member> members = new ArrayList<>();
+    try {
+      MembersAnswer answer =
+          parts.peerClient().call(address, new MembersQuery(), MembersAnswer.class, CALL_MS);
+      for (MemberInfo info : answer.members()) {
+        members.add(
+            new Member(
+                info.vm(),
+                info.dataCentre(),
+                info.region(),
+                info.address(),
+                Member.State.ALIVE,
+                info.incarnation()));
+      }
+    } catch (PeerException e) {
+      log.debug("Seed {} does not answer: {}.", address, e.getMessage());
+    }
+    return members;
+  }
+
+  /** Counts each process once, though a gateway may just have changed its controller. */
+  private Rollouts.Count inForce(long revision) {
+    Map<String, Long> revisions = new HashMap<>();
+    for (Member member : parts.membership().usable()) {
+      try {
+        InForceAnswer answer =
+            parts
+                .peerClient()
+                .call(member.address(), new InForceQuery(), InForceAnswer.class, CALL_MS);
+        for (InForce process : answer.processes()) {
+          revisions.merge(process.process(), process.revision(), Math::max);
+        }
+      } catch (PeerException e) {
+        revisions.putIfAbsent("controller/" + member.vm(), -1L);
+      }
+    }
+    int inForce = 0;
+    for (long known : revisions.values()) {
+      if (known >= revision) {
+        inForce++;
+      }
+    }
+    return new Rollouts.Count(inForce, revisions.size());
+  }
+
+  /** Looks here first, then on the VM that the id names, then on all others. */
+  private List<String> explain(String requestId) {
+    List<String> own = parts.explainer().explain(requestId);
+    if (!own.isEmpty()) {
+      return own;
+    }
+    String vm = RequestIds.vmOf(requestId);
+    List<Member> order = new ArrayList<>(parts.membership().usable());
+    order.sort(java.util.Comparator.comparing((Member m) -> !m.vm().equals(vm)));
+    for (Member member : order) {
+      if (member.vm().equals(settings.vm())) {
+        continue;
+      }
+      try {
+        List<String> sentences =
+            parts
+                .peerClient()
+                .call(member.address(), new ExplainQuery(requestId), ExplainAnswer.class, CALL_MS)
+                .sentences();
+        if (!sentences.isEmpty()) {
+          return sentences;
+        }
+      } catch (PeerException e) {
+        log.debug("Member {} does not explain: {}.", member.vm(), e.getMessage());
+      }
+    }
+    return List.of();
+  }
+
+  /** Returns the port for peers. */
+  public int peerPort() {
+    return parts.peerServer().port();
+  }
+
+  /** Returns the port for operators. */
+  public int operatorsPort() {
+    return operators.port();
+  }
+
+  /** Returns the port for health and metrics. */
+  public int httpPort() {
+    return http.port();
+  }
+
+  /** Waits until the controller is closed. */
+  public void await() throws InterruptedException {
+    stopped.await();
+  }
+
+  /** Stops: gives its lease back, leaves the membership, then closes its ports. */
+  @Override
+  public void close() {
+    log.info("Controller {} stops.", settings.vm());
+    seeder.close();
+    parts.roller().close();
+    parts.follower().close();
+    parts.feed().close();
+    parts.membership().close();
+    operators.close();
+    parts.claims().close();
+    parts.kept().close();
+    parts.peerServer().close();
+    parts.peerClient().close();
+    http.stop();
+    stopped.countDown();
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/controller/Gateways.java
@@ -0,0 +1,42 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.controller;
+
+import com.github.benmanes.caffeine.cache.Cache;
+import com.github.benmanes.caffeine.cache.Caffeine;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.landingtrack.internal.peer.Messages.InForce;
+
+/** The gateways that pull from this controller, with what they have in force. Thread-safe. */
+final class Gateways {
+  private static final long FORGET_S = 15;
+  private static final int MAX = 1_000;
+
+  private final Cache<String, Long> revisions =
+      Caffeine.newBuilder().maximumSize(MAX).expireAfterWrite(FORGET_S, TimeUnit.SECONDS).build();
+
+  void pulled(String gateway, long revision) {
+    revisions.put(gateway, revision);
+  }
+
+  List<InForce> inForce() {
+    List<InForce> all = new ArrayList<>();
+    revisions.asMap().forEach((gateway, revision) -> all.add(new InForce(gateway, revision)));
+    return all;
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/controller/PeerRoutes.java
@@ -0,0 +1,171 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.controller;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.landingtrack.internal.claim.ClaimShard.Outcome;
+import org.landingtrack.internal.claim.ClaimShard.Verdict;
+import org.landingtrack.internal.claim.ClaimShards;
+import org.landingtrack.internal.config.ConfigDelta;
+import org.landingtrack.internal.config.ConfigReplica;
+import org.landingtrack.internal.directory.PrefixDirectory;
+import org.landingtrack.internal.explain.Explainer;
+import org.landingtrack.internal.kept.KeptStateKeeper;
+import org.landingtrack.internal.membership.Member;
+import org.landingtrack.internal.membership.MembershipService;
+import org.landingtrack.internal.peer.Messages.ClaimAnswer;
+import org.landingtrack.internal.peer.Messages.ClaimQuery;
+import org.landingtrack.internal.peer.Messages.ClaimRelease;
+import org.landingtrack.internal.peer.Messages.ConfigAnswer;
+import org.landingtrack.internal.peer.Messages.ConfigPull;
+import org.landingtrack.internal.peer.Messages.ExplainAnswer;
+import org.landingtrack.internal.peer.Messages.ExplainQuery;
+import org.landingtrack.internal.peer.Messages.Explained;
+import org.landingtrack.internal.peer.Messages.FactsReset;
+import org.landingtrack.internal.peer.Messages.FactsUpdate;
+import org.landingtrack.internal.peer.Messages.HoldersAnswer;
+import org.landingtrack.internal.peer.Messages.HoldersQuery;
+import org.landingtrack.internal.peer.Messages.InForce;
+import org.landingtrack.internal.peer.Messages.InForceAnswer;
+import org.landingtrack.internal.peer.Messages.InForceQuery;
+import org.landingtrack.internal.peer.Messages.MemberInfo;
+import org.landingtrack.internal.peer.Messages.MembersAnswer;
+import org.landingtrack.internal.peer.Messages.MembersQuery;
+import org.landingtrack.internal.peer.Messages.RevisionAnswer;
+import org.landingtrack.internal.peer.Messages.RevisionQuery;
+import org.landingtrack.internal.peer.Messages.Taken;
+import org.landingtrack.internal.peer.PeerServer;
+
+/** What a controller answers to gateways and other controllers. */
+final class PeerRoutes {
+  private static final int MAX_HOLDERS = 8;
+  private static final long CLAIM_MS = 3_500;
+  private static final long CLAIM_RETRY_MS = 1_000;
+  private static final long MAX_PULL_MS = 10_000;
+
+  private final ConfigReplica replica;
+  private final MembershipService membership;
+  private final PrefixDirectory directory;
+  private final KeptStateKeeper kept;
+  private final ClaimShards claims;
+  private final Explainer explainer;
+  private final Gateways gateways;
+
+  PeerRoutes(
+      ConfigReplica replica,
+      MembershipService membership,
+      PrefixDirectory directory,
+      KeptStateKeeper kept,
+      ClaimShards claims,
+      Explainer explainer,
+      Gateways gateways) {
+    this.replica = replica;
+    this.membership = membership;
+    this.directory = directory;
+    this.kept = kept;
+    this.claims = claims;
+    this.explainer = explainer;
+    this.gateways = gateways;
+  }
+
+  void addTo(PeerServer server) {
+    server.on(ConfigPull.class, this::config);
+    server.on(RevisionQuery.class, query -> new RevisionAnswer(replica.revision()));
+    server.on(InForceQuery.class, this::inForce);
+    server.on(MembersQuery.class, query -> new MembersAnswer(members()));
+    server.on(HoldersQuery.class, this::holders);
+    server.on(FactsUpdate.class, this::facts);
+    server.on(FactsReset.class, this::reset);
+    server.on(ClaimQuery.class, this::claim);
+    server.on(ClaimRelease.class, this::release);
+    server.on(Explained.class, this::explained);
+    server.on(ExplainQuery.class, query -> new ExplainAnswer(explainer.explain(query.requestId())));
+  }
+
+  private ConfigAnswer config(ConfigPull pull) throws InterruptedException {
+    if (pull.gateway()) {
+      gateways.pulled("gateway/" + pull.subscriber(), pull.afterRevision());
+    }
+    if (!replica.isComplete()) {
+      return new ConfigAnswer(false, new ConfigDelta(0, List.of()));
+    }
+    long waitMs = Math.min(MAX_PULL_MS, pull.waitMs());
+    return new ConfigAnswer(true, replica.awaitDeltaAfter(pull.afterRevision(), waitMs));
+  }
+
+  private InForceAnswer inForce(InForceQuery query) {
+    List<InForce> processes = new ArrayList<>(gateways.inForce());
+    processes.add(new InForce("controller/" + membership.self().vm(), replica.revision()));
+    return new InForceAnswer(processes);
+  }
+
+  private List<MemberInfo> members() {
+    return membership.usable().stream().map(PeerRoutes::info).toList();
+  }
+
+  private static MemberInfo info(Member member) {
+    return new MemberInfo(
+        member.vm(),
+        member.dataCentre(),
+        member.region(),
+        member.address(),
+        member.state().name(),
+        member.incarnation());
+  }
+
+  private HoldersAnswer holders(HoldersQuery query) {
+    HoldersAnswer answer =
+        new HoldersAnswer(directory.holders(query.group(), query.chain(), MAX_HOLDERS));
+    kept.visited(query.service(), query.group(), query.chain());
+    return answer;
+  }
+
+  private Taken facts(FactsUpdate update) {
+    directory.apply(update.facts());
+    kept.learned(update.facts());
+    return new Taken();
+  }
+
+  private Taken reset(FactsReset reset) {
+    directory.dropServer(reset.server());
+    return new Taken();
+  }
+
+  private ClaimAnswer claim(ClaimQuery query) throws InterruptedException {
+    Verdict verdict;
+    try {
+      verdict =
+          claims.claim(query.keyHash(), query.claimant()).get(CLAIM_MS, TimeUnit.MILLISECONDS);
+    } catch (ExecutionException | TimeoutException e) {
+      verdict = new Verdict(Outcome.UNAVAILABLE, "");
+    }
+    return new ClaimAnswer(verdict.outcome().name(), verdict.by(), CLAIM_RETRY_MS);
+  }
+
+  private Taken release(ClaimRelease release) {
+    claims.release(release.keyHash(), release.claimant());
+    return new Taken();
+  }
+
+  private Taken explained(Explained explained) {
+    explained.explanations().forEach(explainer::keep);
+    return new Taken();
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/directory/FactRouter.java
@@ -0,0 +1,109 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.directory;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.landingtrack.internal.base.Hashes;
+import org.landingtrack.internal.membership.Member;
+import org.landingtrack.internal.peer.Messages.Fact;
+import org.landingtrack.internal.peer.Messages.FactsReset;
+import org.landingtrack.internal.peer.Messages.FactsUpdate;
+import org.landingtrack.internal.peer.Messages.Taken;
+import org.landingtrack.internal.peer.PeerClient;
+import org.landingtrack.internal.peer.PeerException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Sends each fact to its group's owner and one successor. Thread-safe. */
+public final class FactRouter implements FactSink {
+  private static final Logger log = LoggerFactory.getLogger("directory");
+  private static final int COPIES = 2;
+  private static final int CALL_MS = 1_000;
+
+  private final String self;
+  private final Supplier<List<Member>> members;
+  private final PeerClient peers;
+  private final PrefixDirectory own;
+  private final Consumer<List<Fact>> local;
+
+  /**
+   * Creates a router.
+   *
+   * @param members the usable controllers of the data centre, this one included
+   * @param local takes the facts that this controller owns itself
+   */
+  public FactRouter(
+      String self,
+      Supplier<List<Member>> members,
+      PeerClient peers,
+      PrefixDirectory own,
+      Consumer<List<Fact>> local) {
+    this.self = self;
+    this.members = members;
+    this.peers = peers;
+    this.own = own;
+    this.local = local;
+  }
+
+  @Override
+  public void facts(List<Fact> facts) {
+    List<Member> live = members.get();
+    Map<String, List<Member>> ownersOfGroup = new HashMap<>();
+    Map<Member, List<Fact>> batches = new HashMap<>();
+    for (Fact fact : facts) {
+      List<Member> owners =
+          ownersOfGroup.computeIfAbsent(
+              fact.group(), group -> Hashes.rendezvous(group, live, Member::vm));
+      for (int i = 0; i < Math.min(COPIES, owners.size()); i++) {
+        batches.computeIfAbsent(owners.get(i), owner -> new ArrayList<>()).add(fact);
+      }
+    }
+    batches.forEach(this::send);
+  }
+
+  private void send(Member owner, List<Fact> batch) {
+    if (owner.vm().equals(self)) {
+      local.accept(batch);
+      return;
+    }
+    try {
+      var unused = peers.call(owner.address(), new FactsUpdate(batch), Taken.class, CALL_MS);
+    } catch (PeerException e) {
+      // Facts are hints; the owner's successor has them too.
+      log.debug("Facts did not reach {}: {}.", owner.vm(), e.getMessage());
+    }
+  }
+
+  @Override
+  public void reset(String server) {
+    for (Member member : members.get()) {
+      if (member.vm().equals(self)) {
+        own.dropServer(server);
+        continue;
+      }
+      try {
+        var unused = peers.call(member.address(), new FactsReset(server), Taken.class, CALL_MS);
+      } catch (PeerException e) {
+        log.debug("A reset did not reach {}: {}.", member.vm(), e.getMessage());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/directory/FeedFollower.java
@@ -0,0 +1,208 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.directory;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
+import org.landingtrack.internal.base.Duty;
+import org.landingtrack.internal.base.Hashes;
+import org.landingtrack.internal.catalog.Catalog;
+import org.landingtrack.internal.catalog.Catalog.NamedBackendServer;
+import org.landingtrack.internal.catalog.Kind;
+import org.landingtrack.internal.catalog.Service;
+import org.landingtrack.internal.catalog.Spec;
+import org.landingtrack.internal.directory.CacheFeed.CacheFeedException;
+import org.landingtrack.internal.directory.CacheFeed.Events;
+import org.landingtrack.internal.membership.Member;
+import org.landingtrack.internal.peer.Messages.Fact;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Follows the feeds of the backend servers that this controller owns by rendezvous, and hands their
+ * facts on. After a gap, or when a server changes its owner, it is listed anew. Thread-safe.
+ */
+public final class FeedFollower implements AutoCloseable {
+  private static final Logger log = LoggerFactory.getLogger("directory");
+  private static final long WAIT_MS = 2_000;
+  private static final long FAILED_PAUSE_MS = 500;
+  private static final long REASSIGN_MS = 1_000;
+  private static final int MAX_FOLLOWED = 256;
+
+  private final String self;
+  private final String dataCentre;
+  private final Supplier<Catalog> catalog;
+  private final Supplier<List<Member>> members;
+  private final CacheFeed feed;
+  private final FactSink sink;
+  private final Map<String, Follow> follows = new ConcurrentHashMap<>();
+  private final Duty assigner = Duty.start("feed-assign", 4);
+
+  public FeedFollower(
+      String self,
+      String dataCentre,
+      Supplier<Catalog> catalog,
+      Supplier<List<Member>> members,
+      CacheFeed feed,
+      FactSink sink) {
+    this.self = self;
+    this.dataCentre = dataCentre;
+    this.catalog = catalog;
+    this.members = members;
+    this.feed = feed;
+    this.sink = sink;
+  }
+
+  /** Starts following. */
+  public void start() {
+    assigner.every(REASSIGN_MS, this::reassign);
+  }
+
+  private void reassign() {
+    Map<String, NamedBackendServer> owned = owned();
+    Set<String> gone = new HashSet<>(follows.keySet());
+    gone.removeAll(owned.keySet());
+    for (String name : gone) {
+      Follow follow = follows.remove(name);
+      if (follow != null) {
+        follow.stop();
+      }
+    }
+    for (NamedBackendServer server : owned.values()) {
+      if (follows.size() >= MAX_FOLLOWED) {
+        log.warn("More than {} servers are to be followed; some are left out.", MAX_FOLLOWED);
+        break;
+      }
+      follows.computeIfAbsent(server.name(), name -> new Follow(server).started());
+    }
+  }
+
+  private Map<String, NamedBackendServer> owned() {
+    Map<String, NamedBackendServer> owned = new HashMap<>();
+    List<Member> live = members.get();
+    Catalog now = catalog.get();
+    for (Map.Entry<String, Spec> entry : now.ofKind(Kind.SERVICE).entrySet()) {
+      if (((Service) entry.getValue()).type().equals("plain")) {
+        continue;
+      }
+      for (NamedBackendServer server : now.servers(entry.getKey())) {
+        boolean here = server.spec().dataCentre().equals(dataCentre);
+        if (here && ownerOf(server.name(), live).equals(self)) {
+          owned.put(server.name(), server);
+        }
+      }
+    }
+    return owned;
+  }
+
+  private static String ownerOf(String server, List<Member> live) {
+    List<Member> owners = Hashes.rendezvous("feed/" + server, live, Member::vm);
+    return owners.isEmpty() ? "" : owners.get(0).vm();
+  }
+
+  /** Returns how many servers are followed. */
+  public int followed() {
+    return follows.size();
+  }
+
+  @Override
+  public void close() {
+    assigner.close();
+    follows.values().forEach(Follow::stop);
+  }
+
+  private final class Follow {
+    private final NamedBackendServer server;
+    private final Thread thread;
+    private volatile boolean stopped;
+    private long after = -1;
+
+    Follow(NamedBackendServer server) {
+      this.server = server;
+      this.thread = Duty.daemon("feed-" + server.name()).newThread(this::run);
+    }
+
+    Follow started() {
+      thread.start();
+      return this;
+    }
+
+    void stop() {
+      stopped = true;
+      thread.interrupt();
+    }
+
+    private void run() {
+      boolean answered = true;
+      while (!stopped) {
+        try {
+          followOnce();
+          answered = true;
+        } catch (CacheFeedException e) {
+          if (answered) {
+            log.info("Server {} gives no events: {}.", server.name(), e.getMessage());
+            sink.reset(server.name());
+          }
+          answered = false;
+          after = -1;
+          pause();
+        }
+      }
+    }
+
+    private void pause() {
+      try {
+        Thread.sleep(FAILED_PAUSE_MS);
+      } catch (InterruptedException e) {
+        stopped = true;
+      }
+    }
+
+    private void followOnce() throws CacheFeedException {
+      String address = server.spec().address();
+      if (after < 0) {
+        Events all = feed.listing(address);
+        sink.reset(server.name());
+        sink.facts(facts(all));
+        after = all.sequence();
+        return;
+      }
+      Events events = feed.events(address, after, WAIT_MS);
+      if (events.gap()) {
+        after = -1;
+        return;
+      }
+      if (!events.events().isEmpty()) {
+        sink.facts(facts(events));
+      }
+      after = events.sequence();
+    }
+
+    private List<Fact> facts(Events events) {
+      List<Fact> facts = new ArrayList<>(events.events().size());
+      for (CacheFeed.Event event : events.events()) {
+        facts.add(new Fact(event.group(), event.key(), server.name(), event.kept(), event.held()));
+      }
+      return facts;
+    }
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/dispatch/ModelDispatcher.java
@@ -0,0 +1,115 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.dispatch;
+
+import java.util.function.Supplier;
+import org.landingtrack.internal.base.Ticker;
+import org.landingtrack.internal.catalog.Catalog;
+import org.landingtrack.internal.engine.BackendClient;
+import org.landingtrack.internal.engine.TokenSink;
+import org.landingtrack.internal.explain.Trace;
+import org.landingtrack.internal.routing.RoutingPolicy;
+import org.landingtrack.internal.routing.ServerTable;
+
+/** Runs model requests: routes, claims, sends, retries and resumes. Thread-safe. */
+public final class ModelDispatcher {
+  final Supplier<Catalog> catalog;
+  final ServerTable servers;
+  final ServiceGates gates;
+  final RoutingPolicy policy;
+  final BackendClient client;
+  final HolderLookup holders;
+  final ClaimGate claims;
+  final Ticker ticker;
+  final String dataCentre;
+
+  private ModelDispatcher(Builder builder) {
+    this.catalog = builder.catalog;
+    this.servers = builder.servers;
+    this.gates = builder.gates;
+    this.policy = builder.policy;
+    this.client = builder.client;
+    this.holders = builder.holders;
+    this.claims = builder.claims;
+    this.ticker = builder.ticker;
+    this.dataCentre = builder.dataCentre;
+  }
+
+  /**
+   * Runs a request to its whole answer.
+   *
+   * @throws org.landingtrack.LandingtrackException with what is known about the run
+   */
+  public DispatchReport run(ModelRequest request, TokenSink sink, Trace trace)
+      throws InterruptedException {
+    return new ModelRun(this, request, sink, trace).run();
+  }
+
+  /** Collects the parts of a dispatcher. */
+  public static final class Builder {
+    private final Supplier<Catalog> catalog;
+    private final ServerTable servers;
+    private final ServiceGates gates;
+    private final BackendClient client;
+    private final RoutingPolicy policy;
+    private HolderLookup holders = (service, chain) -> java.util.List.of();
+    private ClaimGate claims = new RefusingClaimGate();
+    private Ticker ticker = Ticker.SYSTEM;
+    private String dataCentre = "";
+
+    public Builder(
+        Supplier<Catalog> catalog,
+        ServerTable servers,
+        ServiceGates gates,
+        BackendClient client,
+        RoutingPolicy policy) {
+      this.catalog = catalog;
+      this.servers = servers;
+      this.gates = gates;
+      this.client = client;
+      this.policy = policy;
+    }
+
+    /** Sets where holders of a prompt are looked up; by default nothing is known. */
+    public Builder setHolders(HolderLookup holders) {
+      this.holders = holders;
+      return this;
+    }
+
+    /** Sets how request keys are claimed; by default every claim is refused. */
+    public Builder setClaims(ClaimGate claims) {
+      this.claims = claims;
+      return this;
+    }
+
+    /** Sets the clock. */
+    public Builder setTicker(Ticker ticker) {
+      this.ticker = ticker;
+      return this;
+    }
+
+    /** Sets the gateway's own data centre. */
+    public Builder setDataCentre(String dataCentre) {
+      this.dataCentre = dataCentre;
+      return this;
+    }
+
+    /** Creates the dispatcher. */
+    public ModelDispatcher build() {
+      return new ModelDispatcher(this);
+    }
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/dispatch/ModelRun.java
@@ -0,0 +1,432 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.landingtrack.ErrorKind;
+import org.landingtrack.LandingtrackException;
+import org.landingtrack.internal.catalog.Catalog;
+import org.landingtrack.internal.catalog.Kind;
+import org.landingtrack.internal.catalog.Model;
+import org.landingtrack.internal.catalog.Service;
+import org.landingtrack.internal.catalog.WeightVersion;
+import org.landingtrack.internal.engine.CompletionCall;
+import org.landingtrack.internal.engine.CompletionOutcome;
+import org.landingtrack.internal.engine.TokenSink;
+import org.landingtrack.internal.explain.Trace;
+import org.landingtrack.internal.kept.LinkBudget;
+import org.landingtrack.internal.prefix.PrefixChain;
+import org.landingtrack.internal.routing.LoadReport;
+import org.landingtrack.internal.routing.RouteDecision;
+import org.landingtrack.internal.routing.RouteOption;
+import org.landingtrack.internal.routing.RouteQuery;
+import org.landingtrack.internal.routing.ServerState;
+import org.landingtrack.internal.routing.ServerView;
+
+/**
+ * One request on its way through routing, claim, attempts and resumes. Used by one thread.
+ *
+ * <p>The rule for another attempt: after {@code NotRun} it is always allowed; after a broken stream
+ * only a request that may be repeated starts anew, and never under another weight version once
+ * tokens were sent on.
+ */
+final class ModelRun implements TokenSink {
+  private static final long IDLE_MS = 10_000;
+  private static final double RESTORE_FIXED_MS = 3;
+  private static final int MAX_ATTEMPTS = 6;
+  private static final int DEFAULT_KV_BYTES_PER_TOKEN = 1_000;
+
+  private final ModelDispatcher parts;
+  private final ModelRequest request;
+  private final TokenSink caller;
+  private final Trace trace;
+  private final ServiceGates.Gate gate;
+  private final Map<String, PrefixChain> chains = new HashMap<>();
+  private final Set<String> excluded = new HashSet<>();
+  private final long startMs;
+
+  private int delivered;
+  private String deliveredVersion = "";
+  private double ttftMs = -1;
+  private boolean claimed;
+  private boolean mayHaveRun;
+  private int attempts;
+  private @Nullable ServerState current;
+  private long currentTokens;
+  private long sentMs;
+  private long queuedAheadTokens;
+
+  ModelRun(ModelDispatcher parts, ModelRequest request, TokenSink caller, Trace trace) {
+    this.parts = parts;
+    this.request = request;
+    this.caller = caller;
+    this.trace = trace;
+    this.gate = parts.gates.gate(request.serviceName(), request.service());
+    this.startMs = parts.ticker.millis();
+  }
+
+  DispatchReport run() throws InterruptedException {
+    gate.retries().request(request.service().retryPercent());
+    gate.queue().enter(request.team(), request.weight(), request.deadlineMs());
+    long enteredMs = parts.ticker.millis();
+    if (enteredMs - startMs > 1) {
+      trace.say("It waited " + (enteredMs - startMs) + " ms for its turn.");
+    }
+    try {
+      return attemptAll();
+    } catch (LandingtrackException e) {
+      throw settle(e);
+    } finally {
+      gate.queue().leave(parts.ticker.millis() - enteredMs);
+    }
+  }
+
+  /** Gives the claim back if nothing ran, and never says "not run" if something may have. */
+  private LandingtrackException settle(LandingtrackException e) {
+    boolean saysNotRun = e.kind().runState() == org.landingtrack.RunState.NOT_RUN;
+    if (saysNotRun && mayHaveRun) {
+      return new LandingtrackException(
+          ErrorKind.OUTCOME_UNKNOWN, "an attempt may have run; then: " + e.getMessage());
+    }
+    if (claimed && saysNotRun) {
+      parts.claims.release(request.keyHash(), request.id());
+    }
+    return e;
+  }
+
+  private DispatchReport attemptAll() {
+    while (true) {
+      checkDeadline();
+      Route route = route();
+      claimOnce();
+      attempts++;
+      CompletionOutcome outcome = attempt(route);
+      DispatchReport report = conclude(route, outcome);
+      if (report != null) {
+        return report;
+      }
+      if (attempts >= MAX_ATTEMPTS || !gate.retries().tryRetry()) {
+        throw new LandingtrackException(
+            delivered > 0 ? ErrorKind.OUTCOME_UNKNOWN : ErrorKind.OVERLOADED,
+            "no retry is left after " + attempts + " attempts");
+      }
+    }
+  }
+
+  private void checkDeadline() {
+    if (delivered == 0 && parts.ticker.millis() >= request.deadlineMs()) {
+      throw new LandingtrackException(
+          ErrorKind.DEADLINE_BEFORE_RUN, "the deadline passed before the request was sent");
+    }
+  }
+
+  /** What was chosen: the server, the version that its answer will be of, and the keys for it. */
+  private record Route(ServerState state, RouteOption option, String version, PrefixChain chain) {}
+
+  private Route route() {
+    Catalog catalog = parts.catalog.get();
+    String wanted = wantedVersion(catalog);
+    List<ServerView> views = views(catalog, wanted);
+    String version = wanted;
+    if (views.isEmpty() && delivered == 0) {
+      version = versionInstead(catalog, wanted);
+      views = views(catalog, version);
+    }
+    PrefixChain chain = chain(version);
+    RouteDecision decision = parts.policy.decide(query(catalog, chain, views, version));
+    Optional<RouteOption> chosen = decision.chosen();
+    decision.rejected().forEach(trace::say);
+    if (chosen.isEmpty()) {
+      throw new LandingtrackException(
+          ErrorKind.NO_BACKEND_SERVER,
+          "no backend server of " + request.serviceName() + " can take the request now");
+    }
+    explain(decision, version);
+    Optional<ServerState> state = parts.servers.find(chosen.get().server());
+    if (state.isEmpty()) {
+      throw new LandingtrackException(
+          ErrorKind.NO_BACKEND_SERVER, "the chosen backend server was removed just now");
+    }
+    return new Route(state.get(), chosen.get(), version, chain);
+  }
+
+  private void explain(RouteDecision decision, String version) {
+    int shown = 0;
+    for (RouteOption option : decision.options()) {
+      String lead = shown == 0 ? "Chosen under weight version " + version + ": " : "Not chosen: ";
+      trace.say(lead + option.sentence());
+      shown++;
+      if (shown == 4) {
+        break;
+      }
+    }
+  }
+
+  private String wantedVersion(Catalog catalog) {
+    if (delivered > 0) {
+      return deliveredVersion;
+    }
+    String fromCatalog =
+        catalog
+            .find(Kind.SERVICE, request.serviceName(), Service.class)
+            .map(Service::weightVersion)
+            .orElse(null);
+    String own = request.service().weightVersion();
+    return fromCatalog != null ? fromCatalog : own == null ? "" : own;
+  }
+
+  /** Servers whose version is the wanted one, or not known. */
+  private List<ServerView> views(Catalog catalog, String version) {
+    List<ServerView> views = new ArrayList<>();
+    long now = parts.ticker.millis();
+    for (ServerState state : parts.servers.available(catalog, request.serviceName(), excluded)) {
+      ServerView view = state.view(now);
+      if (view.weightVersion().isEmpty() || view.weightVersion().equals(version)) {
+        views.add(view);
+      }
+    }
+    return views;
+  }
+
+  /** While no server has the new version yet, requests run under the one that most servers have. */
+  private String versionInstead(Catalog catalog, String wanted) {
+    Map<String, Integer> counts = new HashMap<>();
+    long now = parts.ticker.millis();
+    for (ServerState state : parts.servers.available(catalog, request.serviceName(), excluded)) {
+      counts.merge(state.view(now).weightVersion(), 1, Integer::sum);
+    }
+    String best = wanted;
+    int most = 0;
+    for (Map.Entry<String, Integer> entry : counts.entrySet()) {
+      if (entry.getValue() > most) {
+        best = entry.getKey();
+        most = entry.getValue();
+      }
+    }
+    if (!best.equals(wanted)) {
+      trace.say("No backend server has weight version " + wanted + " yet; " + best + " is used.");
+    }
+    return best;
+  }
+
+  private PrefixChain chain(String version) {
+    return chains.computeIfAbsent(
+        version, v -> PrefixChain.of(request.team(), request.serviceName(), v, request.prompt()));
+  }
+
+  private RouteQuery query(
+      Catalog catalog, PrefixChain chain, List<ServerView> views, String version) {
+    Service service = request.service();
+    long budget = gate.links().available(linkRate());
+    RouteQuery.Links links =
+        new RouteQuery.Links(
+            gate.links().bytesPerMs(), budget, kvBytesPerToken(catalog, version), RESTORE_FIXED_MS);
+    RouteQuery.Weights weights =
+        new RouteQuery.Weights(
+            service.weightTtft(), service.weightRecompute(), service.weightLink());
+    return new RouteQuery(
+        chain,
+        views,
+        parts.holders.holders(request.serviceName(), chain),
+        weights,
+        links,
+        parts.dataCentre,
+        parts.ticker.millis());
+  }
+
+  private double linkRate() {
+    return (double) request.service().linkBytesPerSecond() / parts.gates.gateways();
+  }
+
+  private static int kvBytesPerToken(Catalog catalog, String version) {
+    return catalog
+        .find(Kind.WEIGHT_VERSION, version, WeightVersion.class)
+        .flatMap(v -> catalog.find(Kind.MODEL, v.model(), Model.class))
+        .map(Model::kvBytesPerToken)
+        .orElse(DEFAULT_KV_BYTES_PER_TOKEN);
+  }
+
+  private void claimOnce() {
+    if (claimed || request.keyHash().isEmpty() || !request.noRepeat()) {
+      return;
+    }
+    // Set first: a claim that is not confirmed may still hold, and is then given back.
+    claimed = true;
+    parts.claims.claim(request.keyHash(), request.id());
+    trace.say("Its request key was claimed, so that it runs at most once.");
+  }
+
+  private CompletionOutcome attempt(Route route) {
+    ServerState state = route.state();
+    String address = state.server().spec().address();
+    currentTokens = route.option().recomputedTokens();
+    queuedAheadTokens = state.view(parts.ticker.millis()).pendingTokens();
+    state.sent(currentTokens);
+    current = state;
+    try {
+      restore(route, address);
+      CompletionCall call = call(route);
+      sentMs = parts.ticker.millis();
+      deliveredVersion = route.version();
+      CompletionOutcome outcome = parts.client.complete(address, call, this);
+      if (outcome instanceof CompletionOutcome.Broken broken && delivered > 0) {
+        trace.say("The stream broke at token " + delivered + ": " + broken.why() + ".");
+        outcome = parts.client.resume(address, call, delivered, this);
+      }
+      return outcome;
+    } finally {
+      state.prefillEnded(currentTokens);
+      state.ended();
+      current = null;
+    }
+  }
+
+  private CompletionCall call(Route route) {
+    return new CompletionCall(
+        request.id() + "-" + attempts,
+        request.serviceName(),
+        request.messages(),
+        request.maxTokens(),
+        route.version(),
+        route.chain().keys(),
+        request.priority(),
+        delivered,
+        delivered > 0 ? parts.ticker.millis() + IDLE_MS : request.deadlineMs(),
+        IDLE_MS);
+  }
+
+  private void restore(Route route, String address) {
+    RouteOption option = route.option();
+    LinkBudget links = gate.links();
+    if (!option.restores() || !links.tryTake(option.linkBytes(), linkRate())) {
+      return;
+    }
+    Optional<ServerState> store = storeState(option.restoreFrom());
+    if (store.isEmpty()) {
+      return;
+    }
+    long began = parts.ticker.millis();
+    List<String> keys = route.chain().keys().subList(0, option.reusedBlocks());
+    long timeoutMs = Math.max(50, (long) (4 * option.restoreMs()));
+    long moved =
+        parts.client.importKept(
+            address, store.get().server().spec().address(), option.kept(), keys, timeoutMs);
+    long tookMs = Math.max(1, parts.ticker.millis() - began);
+    if (moved == 0) {
+      links.failed();
+      trace.say("The restore from " + option.restoreFrom() + " brought nothing; it is recomputed.");
+      return;
+    }
+    links.observed(moved, (double) tookMs);
+    trace.say("Restored " + moved + " bytes of kept state in " + tookMs + " ms.");
+  }
+
+  private Optional<ServerState> storeState(String name) {
+    Catalog catalog = parts.catalog.get();
+    return catalog
+        .find(Kind.BACKEND_SERVER, name, org.landingtrack.internal.catalog.BackendServer.class)
+        .map(spec -> parts.servers.state(new Catalog.NamedBackendServer(name, spec)));
+  }
+
+  /** Returns the report of a whole answer, null for another attempt, or throws the final answer. */
+  private @Nullable DispatchReport conclude(Route route, CompletionOutcome outcome) {
+    ServerState state = route.state();
+    String name = route.option().server();
+    long now = parts.ticker.millis();
+    if (outcome instanceof CompletionOutcome.Whole whole) {
+      state.succeeded(now);
+      state.hasWeightVersion(route.version());
+      trace.say(
+          name
+              + " answered whole: "
+              + whole.usage().cachedTokens()
+              + " of "
+              + whole.usage().promptTokens()
+              + " prompt tokens were reused.");
+      return new DispatchReport(name, route.version(), whole.usage(), ttftMs, attempts);
+    }
+    if (outcome instanceof CompletionOutcome.NotRun notRun) {
+      noteNotRun(state, notRun, name, now);
+      return null;
+    }
+    if (outcome instanceof CompletionOutcome.TooLate late) {
+      state.failed(now);
+      throw new LandingtrackException(
+          late.ran() ? ErrorKind.DEADLINE_IN_RUN : ErrorKind.DEADLINE_BEFORE_RUN,
+          "no first token came from " + name + " before the deadline");
+    }
+    if (outcome instanceof CompletionOutcome.Failed failed) {
+      noteFault(state, name, failed.why(), ErrorKind.FAILED_IN_RUN);
+    } else if (outcome instanceof CompletionOutcome.Broken broken) {
+      noteFault(state, name, broken.why(), ErrorKind.OUTCOME_UNKNOWN);
+    }
+    return null;
+  }
+
+  /** Notes an attempt that ran or may have; only a request that may be repeated goes on. */
+  private void noteFault(ServerState state, String name, String why, ErrorKind kind) {
+    mayHaveRun = true;
+    state.failed(parts.ticker.millis());
+    trace.say(name + " broke off after " + delivered + " tokens: " + why + ".");
+    excluded.add(name);
+    if (request.noRepeat()) {
+      throw new LandingtrackException(
+          kind, name + " broke off and the request must not be repeated: " + why);
+    }
+  }
+
+  private void noteNotRun(
+      ServerState state, CompletionOutcome.NotRun notRun, String name, long now) {
+    trace.say(name + " did not run it: " + notRun.why() + ".");
+    if (!notRun.currentWeightVersion().isEmpty()) {
+      state.hasWeightVersion(notRun.currentWeightVersion());
+      return;
+    }
+    if (notRun.fault()) {
+      state.failed(now);
+    }
+    excluded.add(name);
+  }
+
+  @Override
+  public void token(int offset, String text) {
+    if (ttftMs < 0) {
+      long now = parts.ticker.millis();
+      ttftMs = now - startMs;
+      if (current != null) {
+        current.prefillEnded(currentTokens);
+        current.observed((double) (now - sentMs), currentTokens + queuedAheadTokens);
+        currentTokens = 0;
+      }
+    }
+    caller.token(offset, text);
+    delivered = offset + 1;
+  }
+
+  @Override
+  public void load(LoadReport report) {
+    if (current != null) {
+      current.reported(report);
+    }
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/engine/CompletionCall.java
@@ -0,0 +1,42 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.engine;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
+
+/**
+ * One attempt to run a completion on a model engine.
+ *
+ * @param attempt id that every chunk of the answer must carry
+ * @param messages the caller's messages as they came
+ * @param weightVersion the version that the engine must have
+ * @param cacheKeys content keys of the prompt's blocks
+ * @param resumeOffset tokens that the caller already has
+ * @param firstTokenBeforeMs monotonic time by which the first token must come
+ * @param idleMs longest silence within the answer
+ */
+public record CompletionCall(
+    String attempt,
+    String model,
+    JsonNode messages,
+    int maxTokens,
+    String weightVersion,
+    List<String> cacheKeys,
+    int priority,
+    int resumeOffset,
+    long firstTokenBeforeMs,
+    long idleMs) {}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/engine/PlainOutcome.java
@@ -0,0 +1,28 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.engine;
+
+/** How a call of a plain service ended. */
+public sealed interface PlainOutcome {
+  /** The whole answer. */
+  record Whole(int status, String contentType, byte[] body) implements PlainOutcome {}
+
+  /** Nothing ran, for certain. */
+  record NotRun(String why, boolean fault) implements PlainOutcome {}
+
+  /** It is not known whether the call ran. */
+  record Unknown(String why) implements PlainOutcome {}
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/engine/StreamReader.java
@@ -0,0 +1,110 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.engine;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import okio.BufferedSource;
+import org.jspecify.annotations.Nullable;
+import org.landingtrack.internal.base.Json;
+import org.landingtrack.internal.base.Ticker;
+import org.landingtrack.internal.engine.CompletionOutcome.Broken;
+import org.landingtrack.internal.engine.CompletionOutcome.Failed;
+import org.landingtrack.internal.engine.CompletionOutcome.Whole;
+import org.landingtrack.internal.routing.LoadReport;
+
+/**
+ * Reads the server-sent events of one attempt. Only chunks that carry the attempt's id count; they
+ * must follow each other without a gap; the answer is whole only with its end mark.
+ */
+final class StreamReader {
+  private static final String DATA = "data:";
+  private static final String END = "[DONE]";
+  private static final long MAX_LINE_BYTES = 1 << 20;
+
+  private final String attempt;
+  private final TokenSink sink;
+  private final Ticker ticker;
+  private int next;
+  private @Nullable Usage usage;
+
+  StreamReader(String attempt, int from, TokenSink sink, Ticker ticker) {
+    this.attempt = attempt;
+    this.next = from;
+    this.sink = sink;
+    this.ticker = ticker;
+  }
+
+  /** Reads to the end; {@code onFirst} runs when the first token is there. */
+  CompletionOutcome read(BufferedSource source, Runnable onFirst) throws IOException {
+    boolean first = true;
+    while (!source.exhausted()) {
+      String line = source.readUtf8LineStrict(MAX_LINE_BYTES);
+      if (!line.startsWith(DATA)) {
+        continue;
+      }
+      String data = line.substring(DATA.length()).trim();
+      if (data.equals(END)) {
+        return usage == null ? new Broken("end mark without usage") : new Whole(usage);
+      }
+      CompletionOutcome fault = take(Json.LENIENT.readTree(data));
+      if (fault != null) {
+        return fault;
+      }
+      if (first && next > 0) {
+        first = false;
+        onFirst.run();
+      }
+    }
+    return new Broken("the stream ended without its end mark");
+  }
+
+  private @Nullable CompletionOutcome take(JsonNode chunk) {
+    if (!chunk.path("attempt").asText().equals(attempt)) {
+      return new Broken("a chunk of another attempt arrived");
+    }
+    if (chunk.has("error")) {
+      return new Failed(chunk.path("error").asText());
+    }
+    if (chunk.has("load")) {
+      JsonNode load = chunk.path("load");
+      sink.load(
+          new LoadReport(
+              load.path("queued_tokens").asLong(), load.path("running").asInt(), ticker.millis()));
+    }
+    if (chunk.has("usage")) {
+      JsonNode used = chunk.path("usage");
+      usage =
+          new Usage(
+              used.path("prompt_tokens").asInt(),
+              used.path("cached_tokens").asInt(),
+              used.path("completion_tokens").asInt());
+    }
+    String text = chunk.path("choices").path(0).path("delta").path("content").asText("");
+    if (text.isEmpty()) {
+      return null;
+    }
+    int offset = chunk.path("offset").asInt(-1);
+    if (offset > next || offset < 0) {
+      return new Broken("token " + next + " is missing");
+    }
+    if (offset == next) {
+      sink.token(offset, text);
+      next++;
+    }
+    return null;
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/engine/package-info.java
@@ -0,0 +1,3 @@
+/** Calls to model engines and store VMs. */
+@org.jspecify.annotations.NullMarked
+package org.landingtrack.internal.engine;
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/explain/package-info.java
@@ -0,0 +1,3 @@
+/** What was decided and why, kept in bounded memory. */
+@org.jspecify.annotations.NullMarked
+package org.landingtrack.internal.explain;
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/gateway/GatewayModule.java
@@ -0,0 +1,217 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.gateway;
+
+import dagger.Module;
+import dagger.Provides;
+import jakarta.inject.Singleton;
+import java.util.SplittableRandom;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.landingtrack.internal.admission.TeamLimiter;
+import org.landingtrack.internal.base.Metrics;
+import org.landingtrack.internal.base.Ticker;
+import org.landingtrack.internal.caller.CallerApi;
+import org.landingtrack.internal.caller.InFlight;
+import org.landingtrack.internal.caller.RequestIds;
+import org.landingtrack.internal.catalog.Catalog;
+import org.landingtrack.internal.config.ConfigReplica;
+import org.landingtrack.internal.dispatch.ClaimGate;
+import org.landingtrack.internal.dispatch.ModelDispatcher;
+import org.landingtrack.internal.dispatch.PlainDispatcher;
+import org.landingtrack.internal.dispatch.ServiceGates;
+import org.landingtrack.internal.engine.BackendClient;
+import org.landingtrack.internal.engine.HttpBackendClient;
+import org.landingtrack.internal.explain.Explainer;
+import org.landingtrack.internal.peer.PeerClient;
+import org.landingtrack.internal.routing.BaselinePolicies;
+import org.landingtrack.internal.routing.CostPolicy;
+import org.landingtrack.internal.routing.RoutingPolicy;
+import org.landingtrack.internal.routing.ServerTable;
+import org.landingtrack.internal.settings.GatewaySettings;
+
+/** Makes the parts of a gateway. */
+@Module
+final class GatewayModule {
+  private static final int MAX_EXPLANATIONS = 5_000;
+
+  private final GatewaySettings settings;
+
+  GatewayModule(GatewaySettings settings) {
+    this.settings = settings;
+  }
+
+  @Provides
+  @Singleton
+  Ticker ticker() {
+    return Ticker.SYSTEM;
+  }
+
+  @Provides
+  @Singleton
+  Metrics metrics() {
+    return new Metrics();
+  }
+
+  @Provides
+  @Singleton
+  ConfigReplica replica() {
+    return new ConfigReplica();
+  }
+
+  @Provides
+  Supplier<Catalog> catalog(ConfigReplica replica) {
+    return replica::catalog;
+  }
+
+  @Provides
+  @Singleton
+  PeerClient peers() {
+    return new PeerClient();
+  }
+
+  @Provides
+  @Singleton
+  Explainer explainer() {
+    return new Explainer(MAX_EXPLANATIONS);
+  }
+
+  @Provides
+  @Singleton
+  ControllerLink link(PeerClient peers, ConfigReplica replica, Explainer explainer) {
+    return new ControllerLink(
+        settings.vm(), settings.dataCentre(), settings.controllers(), peers, replica, explainer);
+  }
+
+  @Provides
+  @Singleton
+  ServerTable servers() {
+    return new ServerTable();
+  }
+
+  @Provides
+  @Singleton
+  ServiceGates gates(Supplier<Catalog> catalog, Ticker ticker) {
+    return new ServiceGates(catalog, ticker);
+  }
+
+  @Provides
+  @Singleton
+  TeamLimiter limiter(Ticker ticker) {
+    return new TeamLimiter(ticker);
+  }
+
+  @Provides
+  @Singleton
+  BackendClient client(Ticker ticker) {
+    return new HttpBackendClient(ticker);
+  }
+
+  @Provides
+  @Singleton
+  ClaimGate claims(ControllerLink link, PeerClient peers) {
+    return new RemoteClaims(link, peers);
+  }
+
+  @Provides
+  @Singleton
+  RoutingPolicy policy() {
+    return switch (settings.policy()) {
+      case "round-robin" -> BaselinePolicies.roundRobin();
+      case "least-loaded" -> BaselinePolicies.leastLoaded();
+      case "prefix-hash" -> BaselinePolicies.prefixHash();
+      default -> costPolicy(settings.seed());
+    };
+  }
+
+  /** Each thread has its own generator, seeded in turn from the setting; 0 means any seed. */
+  private static RoutingPolicy costPolicy(long seed) {
+    SplittableRandom seeds = seed == 0 ? new SplittableRandom() : new SplittableRandom(seed);
+    ThreadLocal<RandomGenerator> generators =
+        ThreadLocal.withInitial(
+            () -> {
+              synchronized (seeds) {
+                return seeds.split();
+              }
+            });
+    return new CostPolicy(generators::get);
+  }
+
+  @Provides
+  @Singleton
+  ModelDispatcher models(
+      Supplier<Catalog> catalog,
+      ServerTable servers,
+      ServiceGates gates,
+      BackendClient client,
+      RoutingPolicy policy,
+      ControllerLink link,
+      PeerClient peers,
+      ClaimGate claims,
+      Ticker ticker) {
+    return new ModelDispatcher.Builder(catalog, servers, gates, client, policy)
+        .setHolders(new RemoteHolders(link, peers, ticker))
+        .setClaims(claims)
+        .setTicker(ticker)
+        .setDataCentre(settings.dataCentre())
+        .build();
+  }
+
+  @Provides
+  @Singleton
+  PlainDispatcher plains(
+      Supplier<Catalog> catalog,
+      ServerTable servers,
+      ServiceGates gates,
+      BackendClient client,
+      ClaimGate claims,
+      Ticker ticker) {
+    return new PlainDispatcher(catalog, servers, gates, client, claims, ticker);
+  }
+
+  @Provides
+  @Singleton
+  InFlight inFlight() {
+    return new InFlight(settings.maxRequests());
+  }
+
+  @Provides
+  @Singleton
+  CallerApi callerApi(
+      Supplier<Catalog> catalog,
+      ConfigReplica replica,
+      TeamLimiter limiter,
+      ModelDispatcher models,
+      PlainDispatcher plains,
+      Explainer explainer,
+      InFlight inFlight,
+      Ticker ticker,
+      Metrics metrics) {
+    return new CallerApi(
+        catalog,
+        replica::isComplete,
+        limiter,
+        models,
+        plains,
+        explainer,
+        new RequestIds(settings.vm()),
+        new CallerApi.CallerLimits(
+            settings.maxBodyBytes(), settings.bodyTimeoutMs(), settings.defaultDeadlineMs()),
+        inFlight,
+        ticker,
+        metrics);
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/gateway/RemoteClaims.java
@@ -0,0 +1,97 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.gateway;
+
+import java.util.List;
+import org.landingtrack.ErrorKind;
+import org.landingtrack.LandingtrackException;
+import org.landingtrack.internal.claim.ClaimShard.Outcome;
+import org.landingtrack.internal.claim.ClaimShards;
+import org.landingtrack.internal.dispatch.ClaimGate;
+import org.landingtrack.internal.peer.Messages.ClaimAnswer;
+import org.landingtrack.internal.peer.Messages.ClaimQuery;
+import org.landingtrack.internal.peer.Messages.ClaimRelease;
+import org.landingtrack.internal.peer.Messages.MemberInfo;
+import org.landingtrack.internal.peer.Messages.Taken;
+import org.landingtrack.internal.peer.PeerClient;
+import org.landingtrack.internal.peer.PeerException;
+
+/** Claims through the controller that owns the key's shard, then through its successor. */
+final class RemoteClaims implements ClaimGate {
+  private static final int TIMEOUT_MS = 4_000;
+  private static final int OWNERS = 2;
+
+  private final ControllerLink link;
+  private final PeerClient peers;
+
+  RemoteClaims(ControllerLink link, PeerClient peers) {
+    this.link = link;
+    this.peers = peers;
+  }
+
+  @Override
+  public void claim(String keyHash, String requestId) {
+    ClaimAnswer answer = ask(keyHash, requestId);
+    switch (Outcome.valueOf(answer.outcome())) {
+      case CLAIMED -> {}
+      case TAKEN ->
+          throw new LandingtrackException(
+              ErrorKind.DUPLICATE_KEY,
+              "request " + answer.claimant() + " already has this request key");
+      case FULL ->
+          throw new LandingtrackException(
+              ErrorKind.PLATFORM_UNAVAILABLE, "too many request keys are claimed now");
+      case UNAVAILABLE ->
+          throw new LandingtrackException(
+              ErrorKind.PLATFORM_UNAVAILABLE, "the claim of the request key is not confirmed");
+    }
+  }
+
+  private ClaimAnswer ask(String keyHash, String requestId) {
+    List<MemberInfo> owners = link.ownersOf(ClaimShards.shardOf(keyHash));
+    for (int i = 0; i < Math.min(OWNERS, owners.size()); i++) {
+      try {
+        return peers.call(
+            owners.get(i).address(),
+            new ClaimQuery(keyHash, requestId),
+            ClaimAnswer.class,
+            TIMEOUT_MS);
+      } catch (PeerException e) {
+        // Asking the successor for the same request id is safe: the id may claim its key twice.
+      }
+    }
+    throw new LandingtrackException(
+        ErrorKind.PLATFORM_UNAVAILABLE, "no controller can settle the claim of the request key");
+  }
+
+  @Override
+  public void release(String keyHash, String requestId) {
+    List<MemberInfo> owners = link.ownersOf(ClaimShards.shardOf(keyHash));
+    if (owners.isEmpty()) {
+      return;
+    }
+    try {
+      var unused =
+          peers.call(
+              owners.get(0).address(),
+              new ClaimRelease(keyHash, requestId),
+              Taken.class,
+              TIMEOUT_MS);
+    } catch (PeerException e) {
+      // The key stays claimed until it expires, which is safe.
+    }
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/gateway/RemoteHolders.java
@@ -0,0 +1,71 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.gateway;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+import org.landingtrack.internal.base.Ticker;
+import org.landingtrack.internal.dispatch.HolderLookup;
+import org.landingtrack.internal.peer.Messages.Holder;
+import org.landingtrack.internal.peer.Messages.HoldersAnswer;
+import org.landingtrack.internal.peer.Messages.HoldersQuery;
+import org.landingtrack.internal.peer.Messages.MemberInfo;
+import org.landingtrack.internal.peer.PeerClient;
+import org.landingtrack.internal.peer.PeerException;
+import org.landingtrack.internal.prefix.PrefixChain;
+
+/**
+ * Asks the controller that owns a prompt's group, then its successor. A directory that does not
+ * answer in time costs some reuse, so the wait is short, and after failures it is left alone for a
+ * while.
+ */
+final class RemoteHolders implements HolderLookup {
+  private static final int TIMEOUT_MS = 40;
+  private static final int OWNERS = 2;
+  private static final long REST_MS = 500;
+
+  private final ControllerLink link;
+  private final PeerClient peers;
+  private final Ticker ticker;
+  private final AtomicLong restUntilMs = new AtomicLong(Long.MIN_VALUE);
+
+  RemoteHolders(ControllerLink link, PeerClient peers, Ticker ticker) {
+    this.link = link;
+    this.peers = peers;
+    this.ticker = ticker;
+  }
+
+  @Override
+  public List<Holder> holders(String service, PrefixChain chain) {
+    if (chain.depth() == 0 || ticker.millis() < restUntilMs.get()) {
+      return List.of();
+    }
+    HoldersQuery query = new HoldersQuery(service, chain.group(), chain.keys());
+    List<MemberInfo> owners = new ArrayList<>(link.ownersOf(chain.group()));
+    for (int i = 0; i < Math.min(OWNERS, owners.size()); i++) {
+      try {
+        return peers
+            .call(owners.get(i).address(), query, HoldersAnswer.class, TIMEOUT_MS)
+            .holders();
+      } catch (PeerException e) {
+        // The successor is asked next.
+      }
+    }
+    restUntilMs.set(ticker.millis() + REST_MS);
+    return List.of();
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/gateway/package-info.java
@@ -0,0 +1,3 @@
+/** The gateway process: wiring and life cycle. */
+@org.jspecify.annotations.NullMarked
+package org.landingtrack.internal.gateway;
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/kept/HttpKeptStateClient.java
@@ -0,0 +1,134 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.kept;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.landingtrack.internal.base.Json;
+
+/** {@link KeptStateClient} over HTTP. */
+public final class HttpKeptStateClient implements KeptStateClient {
+  private static final MediaType JSON_TYPE = MediaType.get("application/json");
+  private static final long CALL_MS = 2_000;
+
+  private final OkHttpClient client = new OkHttpClient();
+
+  @Override
+  public Optional<Exported> export(String engine, String store, List<String> keys, long timeoutMs) {
+    ObjectNode body = Json.LENIENT.createObjectNode();
+    body.put("store", store);
+    keys.forEach(body.putArray("keys")::add);
+    Request request =
+        new Request.Builder()
+            .url("http://" + engine + "/v1/kv/export")
+            .post(RequestBody.create(body.toString(), JSON_TYPE))
+            .build();
+    return call(request, timeoutMs)
+        .map(
+            answer -> {
+              List<WrittenBlock> blocks = new ArrayList<>();
+              for (JsonNode node : answer.path("blocks")) {
+                blocks.add(
+                    new WrittenBlock(node.path("key").asText(), node.path("checksum").asText()));
+              }
+              return new Exported(blocks, answer.path("bytes").asLong());
+            });
+  }
+
+  @Override
+  public boolean publish(String store, Manifest manifest) {
+    ObjectNode body = Json.LENIENT.createObjectNode();
+    body.put("group", manifest.group());
+    ArrayNode blocks = body.putArray("blocks");
+    for (WrittenBlock block : manifest.blocks()) {
+      blocks.addObject().put("key", block.key()).put("checksum", block.checksum());
+    }
+    Request request =
+        new Request.Builder()
+            .url("http://" + store + "/v1/manifests/" + manifest.id())
+            .put(RequestBody.create(body.toString(), JSON_TYPE))
+            .build();
+    return call(request, CALL_MS).isPresent();
+  }
+
+  @Override
+  public boolean withdraw(String store, String manifestId) {
+    Request request =
+        new Request.Builder()
+            .url("http://" + store + "/v1/manifests/" + manifestId)
+            .delete()
+            .build();
+    return call(request, CALL_MS).isPresent();
+  }
+
+  @Override
+  public List<KeptManifest> manifests(String store) {
+    Request request = new Request.Builder().url("http://" + store + "/v1/manifests").build();
+    List<KeptManifest> manifests = new ArrayList<>();
+    call(request, CALL_MS)
+        .ifPresent(
+            answer -> {
+              for (JsonNode node : answer.path("manifests")) {
+                manifests.add(
+                    new KeptManifest(
+                        node.path("id").asText(),
+                        node.path("group").asText(),
+                        node.path("bytes").asLong(),
+                        node.path("last_read_ms").asLong()));
+              }
+            });
+    return manifests;
+  }
+
+  @Override
+  public Optional<Fill> fill(String store) {
+    Request request = new Request.Builder().url("http://" + store + "/v1/fill").build();
+    return call(request, CALL_MS)
+        .map(
+            answer ->
+                new Fill(
+                    answer.path("used_bytes").asLong(), answer.path("capacity_bytes").asLong()));
+  }
+
+  private Optional<JsonNode> call(Request request, long timeoutMs) {
+    OkHttpClient timed =
+        client
+            .newBuilder()
+            .callTimeout(timeoutMs, TimeUnit.MILLISECONDS)
+            .readTimeout(timeoutMs, TimeUnit.MILLISECONDS)
+            .build();
+    try (Response response = timed.newCall(request).execute()) {
+      if (!response.isSuccessful()) {
+        return Optional.empty();
+      }
+      String text = response.body().string();
+      return Optional.of(Json.LENIENT.readTree(text.isEmpty() ? "{}" : text));
+    } catch (IOException e) {
+      return Optional.empty();
+    }
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/lease/Lease.java
@@ -0,0 +1,141 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.lease;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.landingtrack.internal.base.Json;
+import org.landingtrack.internal.base.Ticker;
+import org.landingtrack.internal.platform.ObjectApi;
+import org.landingtrack.internal.platform.ObjectApi.CallClass;
+import org.landingtrack.internal.platform.PlatformException;
+import org.landingtrack.internal.platform.StoredObject;
+
+/**
+ * A lease in the Object API with a fencing token.
+ *
+ * <p>No wall clock is compared. Another process may take the lease only after it has itself seen
+ * the record unchanged for the whole duration plus a margin for clock drift. The holder counts from
+ * before it sent its last successful renewal and stops at {@link #HOLD_SHARE} of the duration. A
+ * holder that was paused may still believe in its lease for an instant; that is what the token in
+ * every order is for.
+ *
+ * <p>{@link #step} is called by one thread; {@link #token} by any.
+ */
+public final class Lease {
+  /** Share of the duration after which the holder stops by itself. */
+  static final double HOLD_SHARE = 0.6;
+
+  /** How much longer than the duration others wait. */
+  static final double DRIFT_MARGIN = 1.1;
+
+  private final ObjectApi api;
+  private final Ticker ticker;
+  private final String key;
+  private final String self;
+  private final long durationMs;
+
+  private long seenVersion = -1;
+  private long seenSinceMs;
+  private volatile long epoch;
+  private volatile long holdUntilMs = Long.MIN_VALUE;
+
+  public Lease(ObjectApi api, Ticker ticker, String name, String self, long durationMs) {
+    if (durationMs < 10) {
+      throw new IllegalArgumentException("durationMs must be at least 10: " + durationMs);
+    }
+    this.api = api;
+    this.ticker = ticker;
+    this.key = "leases/" + name;
+    this.self = self;
+    this.durationMs = durationMs;
+  }
+
+  /** Returns the fencing token while the lease is held here; empty otherwise. */
+  public OptionalLong token() {
+    long held = epoch;
+    return ticker.millis() < holdUntilMs ? OptionalLong.of(held) : OptionalLong.empty();
+  }
+
+  /** Returns how long a new holder must wait before orders to servers that check no fences. */
+  public long settleMs(long longestOrderMs) {
+    return (long) (durationMs * DRIFT_MARGIN) + longestOrderMs;
+  }
+
+  /** Acquires or renews if possible. Call it several times in a duration. */
+  public void step() {
+    try {
+      Optional<StoredObject> stored = api.read(CallClass.LEASE, key);
+      if (stored.isEmpty()) {
+        write(new LeaseRecord(self, 1, durationMs, 0), ObjectApi.ABSENT);
+        return;
+      }
+      consider(stored.get());
+    } catch (PlatformException e) {
+      // Without an answer the holding runs out by itself.
+    }
+  }
+
+  private void consider(StoredObject stored) {
+    LeaseRecord record = Json.read(key, stored.value(), LeaseRecord.class);
+    long now = ticker.millis();
+    if (stored.version() != seenVersion) {
+      seenVersion = stored.version();
+      seenSinceMs = now;
+    }
+    if (isOurs(record)) {
+      write(
+          new LeaseRecord(self, record.epoch(), durationMs, record.renewals() + 1),
+          stored.version());
+      return;
+    }
+    boolean lapsed = now - seenSinceMs >= record.durationMs() * DRIFT_MARGIN;
+    if (record.holder().isEmpty() || lapsed) {
+      write(new LeaseRecord(self, record.epoch() + 1, durationMs, 0), stored.version());
+    }
+  }
+
+  /**
+   * A record in our name counts only while we still hold it: after a lapse, or from an earlier life
+   * of this VM, a new epoch is taken like anybody else's.
+   */
+  private boolean isOurs(LeaseRecord record) {
+    return record.holder().equals(self) && record.epoch() == epoch && ticker.millis() < holdUntilMs;
+  }
+
+  private void write(LeaseRecord record, long expectedVersion) {
+    long sentMs = ticker.millis();
+    StoredObject written = api.write(CallClass.LEASE, key, Json.write(record), expectedVersion);
+    seenVersion = written.version();
+    seenSinceMs = sentMs;
+    epoch = record.epoch();
+    holdUntilMs = sentMs + (long) (durationMs * HOLD_SHARE);
+  }
+
+  /** Gives the lease back, so that the next holder need not wait. */
+  public void release() {
+    if (token().isEmpty()) {
+      return;
+    }
+    holdUntilMs = Long.MIN_VALUE;
+    try {
+      api.write(
+          CallClass.LEASE, key, Json.write(new LeaseRecord("", epoch, durationMs, 0)), seenVersion);
+    } catch (PlatformException e) {
+      // It lapses by itself.
+    }
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/lease/LeaseRecord.java
@@ -0,0 +1,25 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.lease;
+
+/**
+ * What the Object API holds for a lease.
+ *
+ * @param holder name of the process that holds it; empty after it was given back
+ * @param epoch raised with every new holding; the fencing token of its orders
+ * @param durationMs how long it lasts without renewal, by the observer's own clock
+ */
+public record LeaseRecord(String holder, long epoch, long durationMs, long renewals) {}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/membership/MembershipService.java
@@ -0,0 +1,140 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.membership;
+
+import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.Collection;
+import java.util.List;
+import org.landingtrack.ErrorKind;
+import org.landingtrack.LandingtrackException;
+import org.landingtrack.internal.base.Duty;
+import org.landingtrack.internal.base.MessagePack;
+import org.landingtrack.internal.base.Ticker;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Runs {@link Membership} over UDP. Thread-safe. */
+public final class MembershipService implements AutoCloseable {
+  private static final Logger log = LoggerFactory.getLogger("membership");
+  private static final int MAX_DATAGRAM_BYTES = 8_192;
+
+  private final Membership membership;
+  private final DatagramSocket socket;
+  private final Duty duty;
+  private final Ticker ticker;
+  private boolean secondHalf;
+
+  /** Opens the UDP port and starts probing. */
+  public MembershipService(
+      Membership membership, String host, int port, long periodMs, Ticker ticker) {
+    this.membership = membership;
+    this.ticker = ticker;
+    try {
+      this.socket = new DatagramSocket(new InetSocketAddress(InetAddress.getByName(host), port));
+    } catch (IOException e) {
+      throw new LandingtrackException(
+          ErrorKind.INTERNAL, "cannot open probe port " + host + ":" + port, e);
+    }
+    this.duty = Duty.start("membership", 1_024);
+    duty.every(Math.max(1, periodMs / 2), this::halfPeriod);
+    Duty.daemon("membership-receive").newThread(this::receiveAll).start();
+  }
+
+  private void halfPeriod() {
+    List<Probe.Outgoing> outgoing;
+    synchronized (membership) {
+      outgoing = secondHalf ? membership.halfTick() : membership.tick(ticker.millis());
+      secondHalf = !secondHalf;
+    }
+    sendAll(outgoing);
+  }
+
+  private void receiveAll() {
+    byte[] buffer = new byte[MAX_DATAGRAM_BYTES];
+    while (!socket.isClosed()) {
+      try {
+        DatagramPacket packet = new DatagramPacket(buffer, buffer.length);
+        socket.receive(packet);
+        Probe probe = MessagePack.MAPPER.readValue(buffer, 0, packet.getLength(), Probe.class);
+        List<Probe.Outgoing> answers;
+        synchronized (membership) {
+          answers = membership.receive(probe, ticker.millis());
+        }
+        sendAll(answers);
+      } catch (IOException e) {
+        log.debug("A datagram was dropped: {}.", e.toString());
+      }
+    }
+  }
+
+  private void sendAll(List<Probe.Outgoing> outgoing) {
+    for (Probe.Outgoing out : outgoing) {
+      try {
+        byte[] bytes = MessagePack.MAPPER.writeValueAsBytes(out.probe());
+        int colon = out.address().lastIndexOf(':');
+        InetSocketAddress to =
+            new InetSocketAddress(
+                out.address().substring(0, colon),
+                Integer.parseInt(out.address().substring(colon + 1)));
+        socket.send(new DatagramPacket(bytes, bytes.length, to));
+      } catch (IOException e) {
+        log.debug("A datagram was not sent: {}.", e.toString());
+      }
+    }
+  }
+
+  /** Takes in members from a list that may be old. */
+  public void seed(Collection<Member> seeds) {
+    synchronized (membership) {
+      membership.seed(seeds, ticker.millis());
+    }
+  }
+
+  /** Returns all known members, the dead ones too. */
+  public List<Member> members() {
+    synchronized (membership) {
+      return membership.members();
+    }
+  }
+
+  /** Returns the members that work may be given to, this one included. */
+  public List<Member> usable() {
+    return members().stream().filter(Member::isUsable).toList();
+  }
+
+  /** Returns this member. */
+  public Member self() {
+    synchronized (membership) {
+      return membership.self();
+    }
+  }
+
+  /** Leaves on purpose and closes. */
+  @Override
+  public void close() {
+    List<Probe.Outgoing> goodbyes;
+    synchronized (membership) {
+      goodbyes = membership.leave();
+    }
+    sendAll(goodbyes);
+    duty.close();
+    socket.close();
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/membership/package-info.java
@@ -0,0 +1,3 @@
+/** Which controllers are live: probing with refutation. */
+@org.jspecify.annotations.NullMarked
+package org.landingtrack.internal.membership;
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/operator/OperatorAuth.java
@@ -0,0 +1,70 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.operator;
+
+import io.grpc.Context;
+import io.grpc.Contexts;
+import io.grpc.Grpc;
+import io.grpc.Metadata;
+import io.grpc.ServerCall;
+import io.grpc.ServerCallHandler;
+import io.grpc.ServerInterceptor;
+import io.grpc.Status;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+import org.landingtrack.ErrorKind;
+import org.landingtrack.internal.base.Hashes;
+
+/** Authenticates operators by the metadata entry {@code operator-key}. Thread-safe. */
+final class OperatorAuth implements ServerInterceptor {
+  static final Context.Key<Operator> OPERATOR = Context.key("operator");
+  static final Metadata.Key<String> KEY =
+      Metadata.Key.of("operator-key", Metadata.ASCII_STRING_MARSHALLER);
+  private static final String WRITER = "writer";
+
+  private record Entry(String name, boolean writer) {}
+
+  private final Map<String, Entry> byHash = new HashMap<>();
+
+  /** Takes entries {@code name:role:sha256-of-key}. */
+  OperatorAuth(List<String> operators) {
+    for (String operator : operators) {
+      String[] parts = operator.split(":", -1);
+      byHash.put(parts[2], new Entry(parts[0], parts[1].equals(WRITER)));
+    }
+  }
+
+  @Override
+  public <Q, A> ServerCall.Listener<Q> interceptCall(
+      ServerCall<Q, A> call, Metadata headers, ServerCallHandler<Q, A> next) {
+    @Nullable String key = headers.get(KEY);
+    @Nullable Entry entry = key == null ? null : byHash.get(Hashes.sha256Hex(key));
+    if (entry == null) {
+      Metadata trailers = new Metadata();
+      trailers.put(OperatorErrors.KIND, ErrorKind.UNAUTHENTICATED.name());
+      call.close(
+          Status.UNAUTHENTICATED.withDescription("the operator key is missing or not known"),
+          trailers);
+      return new ServerCall.Listener<Q>() {};
+    }
+    @Nullable Object from = call.getAttributes().get(Grpc.TRANSPORT_ATTR_REMOTE_ADDR);
+    Operator operator = new Operator(entry.name, entry.writer, String.valueOf(from));
+    Context context = Context.current().withValue(OPERATOR, operator);
+    return Contexts.interceptCall(context, call, headers, next);
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/operator/OperatorServer.java
@@ -0,0 +1,65 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.operator;
+
+import io.grpc.Server;
+import io.grpc.ServerInterceptors;
+import io.grpc.netty.shaded.io.grpc.netty.NettyServerBuilder;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.Executors;
+import org.landingtrack.ErrorKind;
+import org.landingtrack.LandingtrackException;
+import org.landingtrack.internal.base.Duty;
+
+/** Serves the operators' interface on a port. */
+public final class OperatorServer implements AutoCloseable {
+  private static final int THREADS = 8;
+
+  private final Server server;
+
+  private OperatorServer(Server server) {
+    this.server = server;
+  }
+
+  /** Opens the port; 0 takes a free one. */
+  public static OperatorServer open(
+      String host, int port, OperatorService service, List<String> operators) {
+    try {
+      Server server =
+          NettyServerBuilder.forAddress(new InetSocketAddress(host, port))
+              .executor(Executors.newFixedThreadPool(THREADS, Duty.daemon("operator")))
+              .addService(ServerInterceptors.intercept(service, new OperatorAuth(operators)))
+              .build()
+              .start();
+      return new OperatorServer(server);
+    } catch (IOException e) {
+      throw new LandingtrackException(
+          ErrorKind.INTERNAL, "cannot open operators' port " + host + ":" + port, e);
+    }
+  }
+
+  /** Returns the port that is open. */
+  public int port() {
+    return server.getPort();
+  }
+
+  @Override
+  public void close() {
+    server.shutdown();
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/operator/package-info.java
@@ -0,0 +1,3 @@
+/** The operators' gRPC interface. */
+@org.jspecify.annotations.NullMarked
+package org.landingtrack.internal.operator;
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/peer/PeerClient.java
@@ -0,0 +1,127 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.peer;
+
+import java.io.BufferedInputStream;
+import java.io.BufferedOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Calls other landingtrack processes. Connections are kept for the next call, a few for each peer.
+ * Thread-safe.
+ */
+public final class PeerClient implements AutoCloseable {
+  static final String ERROR = "error";
+  private static final int IDLE_PER_PEER = 8;
+  private static final int MAX_CONNECT_MS = 1_000;
+
+  private final Map<String, ArrayBlockingQueue<Connection>> idle = new ConcurrentHashMap<>();
+
+  /** Calls a peer and waits for its answer, at most so long. */
+  public <T> T call(String address, Object message, Class<T> answerType, int timeoutMs) {
+    Connection kept = pool(address).poll();
+    if (kept != null) {
+      try {
+        return call(address, kept, message, answerType, timeoutMs);
+      } catch (IOException e) {
+        // A kept connection may have died unseen; all peer calls may be repeated.
+        kept.close();
+      }
+    }
+    Connection fresh = null;
+    try {
+      fresh = Connection.open(address, Math.min(MAX_CONNECT_MS, timeoutMs));
+      return call(address, fresh, message, answerType, timeoutMs);
+    } catch (IOException e) {
+      if (fresh != null) {
+        fresh.close();
+      }
+      throw new PeerException("peer " + address + " does not answer: " + e, e);
+    }
+  }
+
+  private <T> T call(
+      String address, Connection connection, Object message, Class<T> answerType, int timeoutMs)
+      throws IOException {
+    connection.socket.setSoTimeout(timeoutMs);
+    byte[] body = Frames.MAPPER.writeValueAsBytes(message);
+    Frames.write(connection.out, new Frames.Frame(message.getClass().getSimpleName(), body));
+    Frames.Frame answer = Frames.read(connection.in);
+    if (!pool(address).offer(connection)) {
+      connection.close();
+    }
+    if (answer.type().equals(ERROR)) {
+      throw new PeerException(new String(answer.body(), StandardCharsets.UTF_8));
+    }
+    return Frames.MAPPER.readValue(answer.body(), answerType);
+  }
+
+  private ArrayBlockingQueue<Connection> pool(String address) {
+    return idle.computeIfAbsent(address, a -> new ArrayBlockingQueue<>(IDLE_PER_PEER));
+  }
+
+  /** Splits {@code host:port}. */
+  static InetSocketAddress parse(String address) {
+    int colon = address.lastIndexOf(':');
+    return new InetSocketAddress(
+        address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+  }
+
+  @Override
+  public void close() {
+    for (ArrayBlockingQueue<Connection> queue : idle.values()) {
+      @Nullable Connection connection = queue.poll();
+      while (connection != null) {
+        connection.close();
+        connection = queue.poll();
+      }
+    }
+  }
+
+  private record Connection(Socket socket, DataInputStream in, DataOutputStream out) {
+    static Connection open(String address, int timeoutMs) throws IOException {
+      Socket socket = new Socket();
+      try {
+        socket.connect(parse(address), timeoutMs);
+        socket.setTcpNoDelay(true);
+        return new Connection(
+            socket,
+            new DataInputStream(new BufferedInputStream(socket.getInputStream())),
+            new DataOutputStream(new BufferedOutputStream(socket.getOutputStream())));
+      } catch (IOException e) {
+        socket.close();
+        throw e;
+      }
+    }
+
+    void close() {
+      try {
+        socket.close();
+      } catch (IOException e) {
+        // Nothing is lost: the connection is given up anyway.
+      }
+    }
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/prefix/package-info.java
@@ -0,0 +1,3 @@
+/** Content keys of prompt prefixes. */
+@org.jspecify.annotations.NullMarked
+package org.landingtrack.internal.prefix;
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/routing/BaselinePolicies.java
@@ -0,0 +1,87 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.routing;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.ToDoubleFunction;
+import org.landingtrack.internal.base.Hashes;
+import org.landingtrack.internal.routing.CostModel.Reuse;
+
+/** Plain policies to measure the product's policy against. */
+public final class BaselinePolicies {
+  private BaselinePolicies() {}
+
+  /** Takes the servers in turn. */
+  public static RoutingPolicy roundRobin() {
+    AtomicLong turn = new AtomicLong();
+    return query -> {
+      List<ServerView> usable = usable(query);
+      int size = Math.max(1, usable.size());
+      int first = (int) Math.floorMod(turn.getAndIncrement(), (long) size);
+      List<ServerView> rotated =
+          new ArrayList<>(usable.subList(Math.min(first, usable.size()), usable.size()));
+      rotated.addAll(usable.subList(0, Math.min(first, usable.size())));
+      return decision(query, rotated);
+    };
+  }
+
+  /** Takes the server with the fewest requests for its size. */
+  public static RoutingPolicy leastLoaded() {
+    return by(
+        server ->
+            (double) Math.max(server.inFlight(), server.report().running())
+                / server.maxConcurrent());
+  }
+
+  /** Takes the servers by rendezvous of the prompt's first block. */
+  public static RoutingPolicy prefixHash() {
+    return query ->
+        decision(query, Hashes.rendezvous(query.chain().group(), usable(query), ServerView::name));
+  }
+
+  private static RoutingPolicy by(ToDoubleFunction<ServerView> load) {
+    AtomicLong turn = new AtomicLong();
+    return query -> {
+      String salt = Long.toString(turn.getAndIncrement());
+      List<ServerView> ordered = usable(query);
+      ordered.sort(
+          Comparator.comparingDouble(load)
+              .thenComparing(server -> Hashes.placement(salt, server.name())));
+      return decision(query, ordered);
+    };
+  }
+
+  private static List<ServerView> usable(RouteQuery query) {
+    List<ServerView> usable = new ArrayList<>();
+    for (ServerView server : query.servers()) {
+      if (server.isUsable()) {
+        usable.add(server);
+      }
+    }
+    return usable;
+  }
+
+  private static RouteDecision decision(RouteQuery query, List<ServerView> ordered) {
+    List<RouteOption> options = new ArrayList<>();
+    for (ServerView server : ordered) {
+      options.add(CostModel.option(query, server, Reuse.local(0)));
+    }
+    return new RouteDecision(options, List.of());
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/routing/CostModel.java
@@ -0,0 +1,105 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.routing;
+
+import org.landingtrack.internal.prefix.PrefixChain;
+import org.landingtrack.internal.routing.RouteQuery.Links;
+import org.landingtrack.internal.routing.RouteQuery.Weights;
+
+/** Estimates what running a request in one way costs. */
+final class CostModel {
+  /** A load report older than this says nothing about now. */
+  static final long REPORT_FRESH_MS = 2_000;
+
+  private static final double NETWORK_SAME_MS = 0.5;
+  private static final double NETWORK_OTHER_MS = 3;
+
+  /** What a server without any fresh report is assumed to have in its queue, in tokens. */
+  private static final long UNKNOWN_QUEUE_TOKENS = PrefixChain.BLOCK_TOKENS;
+
+  private CostModel() {}
+
+  /** What the option reuses: by the server itself, and by a restore on top of it. */
+  record Reuse(int blocks, String restoreFrom, String kept, int restoreBlocks) {
+    static Reuse local(int blocks) {
+      return new Reuse(blocks, "", "", 0);
+    }
+  }
+
+  static RouteOption option(RouteQuery query, ServerView server, Reuse reuse) {
+    PrefixChain chain = query.chain();
+    Links links = query.links();
+    double networkMs =
+        server.dataCentre().equals(query.dataCentre()) ? NETWORK_SAME_MS : NETWORK_OTHER_MS;
+    double queueMs = queueMs(server, query.nowMs()) / server.share();
+    int tokens = chain.tokensAfter(reuse.blocks());
+    double prefillMs = tokens * server.msPerToken() / server.share();
+    long bytes = (long) reuse.restoreBlocks() * blockBytes(links);
+    double restoreMs = bytes == 0 ? 0 : links.fixedMs() + bytes / links.bytesPerMs();
+    double ttftMs = networkMs + queueMs + restoreMs + prefillMs;
+    Weights weights = query.weights();
+    double cost =
+        weights.ttftMs() * ttftMs
+            + weights.recomputedToken() * tokens
+            + weights.linkMegabyte() * bytes / 1e6;
+    return new RouteOption(
+        server.name(),
+        reuse.blocks(),
+        reuse.restoreFrom(),
+        reuse.kept(),
+        reuse.restoreBlocks(),
+        networkMs,
+        queueMs,
+        restoreMs,
+        prefillMs,
+        tokens,
+        bytes,
+        ttftMs,
+        cost);
+  }
+
+  static long blockBytes(Links links) {
+    return (long) links.kvBytesPerToken() * PrefixChain.BLOCK_TOKENS;
+  }
+
+  /**
+   * Time until the server turns to this request. A fresh report is corrected by what this gateway
+   * sent since; a stale one decays to "unknown", never to "idle".
+   */
+  static double queueMs(ServerView server, long nowMs) {
+    long age = nowMs - server.report().atMs();
+    long tokens;
+    if (age <= REPORT_FRESH_MS) {
+      tokens =
+          Math.max(
+              server.pendingTokens(),
+              server.report().queuedTokens() + server.sentSinceReportTokens());
+    } else {
+      tokens = server.pendingTokens() + (server.inFlight() == 0 ? UNKNOWN_QUEUE_TOKENS / 8 : 0);
+    }
+    double waitMs = tokens * server.msPerToken();
+    int running =
+        Math.max(server.inFlight(), age <= REPORT_FRESH_MS ? server.report().running() : 0);
+    int over = running - server.maxConcurrent() + 1;
+    if (over > 0) {
+      waitMs += over * SLOT_WAIT_MS;
+    }
+    return waitMs;
+  }
+
+  /** Assumed time until a full batch frees one place. */
+  private static final double SLOT_WAIT_MS = 200;
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/routing/LoadReport.java
@@ -0,0 +1,28 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.routing;
+
+/**
+ * What a model engine said about its load, and when it was heard.
+ *
+ * @param queuedTokens prompt tokens that wait to be computed
+ * @param running requests in its batch
+ * @param atMs when it was heard, on the monotonic clock
+ */
+public record LoadReport(long queuedTokens, int running, long atMs) {
+  /** Nothing was heard yet. */
+  public static final LoadReport NONE = new LoadReport(0, 0, Long.MIN_VALUE / 2);
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/routing/ServerState.java
@@ -0,0 +1,147 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.routing;
+
+import org.landingtrack.internal.catalog.Catalog.NamedBackendServer;
+
+/**
+ * What one gateway has seen of a backend server: an aggregate with its own rules for health and for
+ * calibration. Thread-safe.
+ */
+public final class ServerState {
+  private static final int FAILURES_TO_EJECT = 3;
+  private static final long FIRST_EJECTION_MS = 1_000;
+  private static final long MAX_EJECTION_MS = 30_000;
+  private static final long WARM_UP_MS = 10_000;
+  private static final double WARM_UP_SHARE = 0.25;
+  private static final double SMOOTHING = 0.2;
+
+  /** Assumed time to compute a prompt token before any answer was seen. */
+  private static final double FIRST_MS_PER_TOKEN = 0.05;
+
+  private final NamedBackendServer server;
+  private String weightVersion = "";
+  private int inFlight;
+  private long pendingTokens;
+  private long sentSinceReportTokens;
+  private LoadReport report = LoadReport.NONE;
+  private double msPerToken = FIRST_MS_PER_TOKEN;
+  private int failures;
+  private int ejections;
+  private long ejectedUntilMs = Long.MIN_VALUE;
+  private long warmUntilMs = Long.MIN_VALUE;
+
+  public ServerState(NamedBackendServer server) {
+    this.server = server;
+  }
+
+  /** Creates the state of a server whose configuration changed; what was seen of it stays. */
+  synchronized ServerState withConfiguration(NamedBackendServer changed) {
+    ServerState next = new ServerState(changed);
+    next.weightVersion = weightVersion;
+    next.msPerToken = msPerToken;
+    next.report = report;
+    return next;
+  }
+
+  /** Returns the server's configuration. */
+  public NamedBackendServer server() {
+    return server;
+  }
+
+  /** Notes a request that is sent, with the prompt tokens that it adds by estimate. */
+  public synchronized void sent(long tokens) {
+    inFlight++;
+    pendingTokens += tokens;
+    sentSinceReportTokens += tokens;
+  }
+
+  /** Notes that a request has its first token, or ended without one. */
+  public synchronized void prefillEnded(long tokens) {
+    pendingTokens = Math.max(0, pendingTokens - tokens);
+  }
+
+  /** Notes that a request ended in any way. */
+  public synchronized void ended() {
+    inFlight--;
+  }
+
+  /** Notes a load report that came with an answer. */
+  public synchronized void reported(LoadReport newReport) {
+    report = newReport;
+    sentSinceReportTokens = 0;
+  }
+
+  /** Notes the weight version that the server says it has. */
+  public synchronized void hasWeightVersion(String version) {
+    weightVersion = version;
+  }
+
+  /** Learns the speed of the server from an answer. */
+  public synchronized void observed(double elapsedMs, long tokens) {
+    if (tokens <= 0) {
+      return;
+    }
+    double sample = elapsedMs / tokens;
+    msPerToken += SMOOTHING * (sample - msPerToken);
+  }
+
+  /** Notes a request that the server answered. */
+  public synchronized void succeeded(long nowMs) {
+    if (failures >= FAILURES_TO_EJECT) {
+      warmUntilMs = nowMs + WARM_UP_MS;
+    }
+    failures = 0;
+    ejections = 0;
+  }
+
+  /** Notes a failure; several in a row eject the server for a while, longer each time. */
+  public synchronized void failed(long nowMs) {
+    failures++;
+    if (failures >= FAILURES_TO_EJECT) {
+      long span = Math.min(MAX_EJECTION_MS, FIRST_EJECTION_MS << Math.min(ejections, 10));
+      ejections++;
+      ejectedUntilMs = nowMs + span;
+      warmUntilMs = nowMs + span + WARM_UP_MS;
+    }
+  }
+
+  private double share(long nowMs) {
+    if (nowMs < ejectedUntilMs) {
+      return 0;
+    }
+    if (nowMs >= warmUntilMs) {
+      return 1;
+    }
+    double progress = 1 - (double) (warmUntilMs - nowMs) / WARM_UP_MS;
+    return WARM_UP_SHARE + (1 - WARM_UP_SHARE) * Math.max(0, progress);
+  }
+
+  /** Returns the server as a decision sees it now. */
+  public synchronized ServerView view(long nowMs) {
+    return new ServerView(
+        server.name(),
+        server.spec().dataCentre(),
+        server.spec().maxConcurrent(),
+        weightVersion,
+        inFlight,
+        pendingTokens,
+        report,
+        sentSinceReportTokens,
+        msPerToken,
+        share(nowMs));
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/routing/ServerTable.java
@@ -0,0 +1,69 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.routing;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.landingtrack.internal.catalog.Catalog;
+import org.landingtrack.internal.catalog.Catalog.NamedBackendServer;
+
+/** The states of all backend servers, kept in step with the catalog. Thread-safe. */
+public final class ServerTable {
+  private final Map<String, ServerState> states = new ConcurrentHashMap<>();
+
+  /** Returns the state of a server, creating it if it is new or was configured anew. */
+  public ServerState state(NamedBackendServer server) {
+    return states.compute(
+        server.name(),
+        (name, known) -> {
+          if (known == null) {
+            return new ServerState(server);
+          }
+          boolean same = known.server().spec().equals(server.spec());
+          return same ? known : known.withConfiguration(server);
+        });
+  }
+
+  /** Finds the state of a server by name. */
+  public Optional<ServerState> find(String name) {
+    return Optional.ofNullable(states.get(name));
+  }
+
+  /** Returns the servers of a service that may get new work, by what the catalog says. */
+  public List<ServerState> available(Catalog catalog, String service, Set<String> excluded) {
+    List<ServerState> available = new ArrayList<>();
+    for (NamedBackendServer server : catalog.servers(service)) {
+      if (server.spec().draining() || excluded.contains(server.name())) {
+        continue;
+      }
+      available.add(state(server));
+    }
+    return available;
+  }
+
+  /** Forgets servers that the catalog no longer has. */
+  public void retain(Catalog catalog) {
+    Map<String, ServerState> gone = new HashMap<>(states);
+    gone.keySet()
+        .removeAll(catalog.ofKind(org.landingtrack.internal.catalog.Kind.BACKEND_SERVER).keySet());
+    states.keySet().removeAll(gone.keySet());
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/settings/CommonKeys.java
@@ -0,0 +1,40 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.settings;
+
+import java.util.List;
+
+/** The keys that gateways and controllers share. */
+final class CommonKeys {
+  static final String NAME = "[a-z0-9][a-z0-9-]{0,62}";
+  static final String NAME_RULE = "a name of a-z, 0-9 and hyphens, 63 characters at most";
+  static final String ADDRESS = "[0-9a-fA-F.:\\[\\]]+:[0-9]{1,5}";
+  static final String ADDRESS_RULE = "an address such as 10.0.0.1:7000";
+  static final String HOST = "[0-9a-fA-F.:]+";
+  static final String HOST_RULE = "an IP address";
+  static final int MAX_PORT = 65_535;
+
+  static final List<SettingKey> KEYS =
+      List.of(
+          SettingKey.text("process", null, "gateway|controller", "gateway or controller"),
+          SettingKey.text("vm", null, NAME, NAME_RULE),
+          SettingKey.text("dataCentre", null, NAME, NAME_RULE),
+          SettingKey.text("region", "default", NAME, NAME_RULE),
+          SettingKey.text("log.format", "text", "text|json", "text or json"),
+          SettingKey.text("log.level", "info", "debug|info|warn|error", "a log level"));
+
+  private CommonKeys() {}
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/settings/GatewaySettings.java
@@ -0,0 +1,88 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.settings;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Checked settings of a gateway. Times are in milliseconds, sizes in bytes.
+ *
+ * @param controllers addresses of controllers' peer ports, the own VM's first
+ * @param policy how requests are routed; anything but {@code landingtrack} is a baseline for
+ *     measurements
+ */
+public record GatewaySettings(
+    String vm,
+    String dataCentre,
+    String region,
+    String logFormat,
+    String logLevel,
+    String callersHost,
+    int callersPort,
+    List<String> controllers,
+    int maxBodyBytes,
+    long bodyTimeoutMs,
+    long defaultDeadlineMs,
+    long stopGraceMs,
+    int maxRequests,
+    String policy,
+    long seed) {
+
+  private static final List<SettingKey> KEYS = keys();
+
+  private static List<SettingKey> keys() {
+    List<SettingKey> keys = new ArrayList<>(CommonKeys.KEYS);
+    keys.add(SettingKey.text("callers.host", "127.0.0.1", CommonKeys.HOST, CommonKeys.HOST_RULE));
+    keys.add(SettingKey.number("callers.port", null, 0, CommonKeys.MAX_PORT));
+    keys.add(SettingKey.texts("controllers", null, CommonKeys.ADDRESS, CommonKeys.ADDRESS_RULE));
+    keys.add(SettingKey.number("requests.maxBodyBytes", 4_000_000L, 1_000, 64_000_000));
+    keys.add(SettingKey.number("requests.bodyTimeoutMs", 10_000L, 100, 600_000));
+    keys.add(SettingKey.number("requests.defaultDeadlineMs", 60_000L, 100, 3_600_000));
+    keys.add(SettingKey.number("requests.maxConcurrent", 800L, 1, 10_000));
+    keys.add(SettingKey.number("stopGraceMs", 120_000L, 0, 3_600_000));
+    keys.add(
+        SettingKey.text(
+            "routing.policy",
+            "landingtrack",
+            "landingtrack|round-robin|least-loaded|prefix-hash",
+            "landingtrack, round-robin, least-loaded or prefix-hash"));
+    keys.add(SettingKey.number("routing.seed", 0L, 0, Long.MAX_VALUE));
+    return List.copyOf(keys);
+  }
+
+  /** Reads a file; throws {@link SettingsException} on the first fault. */
+  public static GatewaySettings read(Path path) {
+    SettingsReader.Values v = SettingsReader.read(path, KEYS);
+    return new GatewaySettings(
+        v.text("vm"),
+        v.text("dataCentre"),
+        v.text("region"),
+        v.text("log.format"),
+        v.text("log.level"),
+        v.text("callers.host"),
+        v.integer("callers.port"),
+        v.texts("controllers"),
+        v.integer("requests.maxBodyBytes"),
+        v.number("requests.bodyTimeoutMs"),
+        v.number("requests.defaultDeadlineMs"),
+        v.number("stopGraceMs"),
+        v.integer("requests.maxConcurrent"),
+        v.text("routing.policy"),
+        v.number("routing.seed"));
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/weights/EngineOrders.java
@@ -0,0 +1,32 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.weights;
+
+import org.landingtrack.internal.weights.RollPlan.EngineState;
+
+/** Orders to model engines. Implementations are thread-safe. */
+public interface EngineOrders {
+  /** Asks an engine how it is. */
+  EngineState state(String name, String address);
+
+  /**
+   * Orders a load. Idempotent: an engine that has or loads the version already does nothing.
+   *
+   * @param epoch fencing token; an engine that checks fences refuses a lower one than it has seen
+   * @return true if the order was taken
+   */
+  boolean load(String address, String version, String source, long epoch);
+}
