--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/weights/WeightRoller.java
@@ -0,0 +1,180 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.weights;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.function.Supplier;
+import org.landingtrack.internal.base.Duty;
+import org.landingtrack.internal.base.Ticker;
+import org.landingtrack.internal.catalog.Catalog;
+import org.landingtrack.internal.catalog.Catalog.NamedBackendServer;
+import org.landingtrack.internal.catalog.Kind;
+import org.landingtrack.internal.catalog.Service;
+import org.landingtrack.internal.catalog.Spec;
+import org.landingtrack.internal.catalog.WeightVersion;
+import org.landingtrack.internal.lease.Lease;
+import org.landingtrack.internal.weights.RollPlan.EngineState;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Brings the engines of a data centre to the weight versions that their services name.
+ *
+ * <p>Only the holder of the data centre's lease gives orders, each with the lease's epoch. Engines
+ * that do not check fences get their first order of a holding only after the time in which an order
+ * of the last holder could still be under way. Thread-safe.
+ */
+public final class WeightRoller implements AutoCloseable {
+  private static final Logger log = LoggerFactory.getLogger("weights");
+  private static final long STEP_MS = 500;
+
+  /** A service that is as it should be is looked at only this often. */
+  private static final long SETTLED_EVERY_MS = 10_000;
+
+  private final String dataCentre;
+  private final Supplier<Catalog> catalog;
+  private final Lease lease;
+  private final EngineOrders orders;
+  private final Ticker ticker;
+  private final Duty duty = Duty.start("weights", 4);
+  private final Map<String, Settled> settled = new HashMap<>();
+  private long heldEpoch = -1;
+  private long heldSinceMs;
+
+  private record Settled(String version, int engines, long atMs) {}
+
+  public WeightRoller(
+      String dataCentre,
+      Supplier<Catalog> catalog,
+      Lease lease,
+      EngineOrders orders,
+      Ticker ticker) {
+    this.dataCentre = dataCentre;
+    this.catalog = catalog;
+    this.lease = lease;
+    this.orders = orders;
+    this.ticker = ticker;
+  }
+
+  /** Starts rolling. */
+  public void start() {
+    duty.every(STEP_MS, this::step);
+  }
+
+  /** Renews the lease and, while it is held, gives the next orders. */
+  void step() {
+    lease.step();
+    OptionalLong epoch = lease.token();
+    if (epoch.isEmpty()) {
+      heldEpoch = -1;
+      return;
+    }
+    if (heldEpoch != epoch.getAsLong()) {
+      heldEpoch = epoch.getAsLong();
+      heldSinceMs = ticker.millis();
+      settled.clear();
+    }
+    int loads = 0;
+    for (Map.Entry<String, Spec> entry : catalog.get().ofKind(Kind.SERVICE).entrySet()) {
+      Service service = (Service) entry.getValue();
+      if (service.isModel()) {
+        loads += roll(entry.getKey(), service, loads);
+      }
+    }
+  }
+
+  /** Returns how many loads of the service are under way. */
+  private int roll(String name, Service service, int loadsElsewhere) {
+    String target = service.weightVersion();
+    List<NamedBackendServer> engines = enginesHere(name);
+    if (target == null || engines.isEmpty() || isSettled(name, target, engines.size())) {
+      return 0;
+    }
+    List<EngineState> states = new ArrayList<>();
+    Map<String, NamedBackendServer> byName = new HashMap<>();
+    int loading = 0;
+    boolean allThere = true;
+    for (NamedBackendServer engine : engines) {
+      EngineState state = orders.state(engine.name(), engine.spec().address());
+      states.add(state);
+      byName.put(engine.name(), engine);
+      loading += state.loading() ? 1 : 0;
+      allThere &= state.reachable() && state.version().equals(target) && !state.loading();
+    }
+    if (allThere) {
+      settled.put(name, new Settled(target, engines.size(), ticker.millis()));
+      return 0;
+    }
+    for (String next : RollPlan.next(states, target, loadsElsewhere)) {
+      NamedBackendServer engine = byName.get(next);
+      if (engine != null && order(engine, target)) {
+        loading++;
+      }
+    }
+    return loading;
+  }
+
+  private List<NamedBackendServer> enginesHere(String service) {
+    List<NamedBackendServer> here = new ArrayList<>();
+    for (NamedBackendServer server : catalog.get().servers(service)) {
+      if (server.spec().dataCentre().equals(dataCentre)) {
+        here.add(server);
+      }
+    }
+    return here;
+  }
+
+  private boolean isSettled(String name, String target, int engines) {
+    Settled known = settled.get(name);
+    return known != null
+        && known.version.equals(target)
+        && known.engines == engines
+        && ticker.millis() - known.atMs < SETTLED_EVERY_MS;
+  }
+
+  private boolean order(NamedBackendServer engine, String target) {
+    long settleMs = lease.settleMs(HttpEngineOrders.ORDER_MS);
+    if (!engine.spec().checksFences() && ticker.millis() - heldSinceMs < settleMs) {
+      return false;
+    }
+    // Asked again right before the order: the holding may have ended meanwhile.
+    OptionalLong epoch = lease.token();
+    if (epoch.isEmpty()) {
+      return false;
+    }
+    String source =
+        catalog
+            .get()
+            .find(Kind.WEIGHT_VERSION, target, WeightVersion.class)
+            .map(WeightVersion::source)
+            .orElse("");
+    boolean taken = orders.load(engine.spec().address(), target, source, epoch.getAsLong());
+    if (taken) {
+      log.info("Engine {} loads weight version {}.", engine.name(), target);
+    }
+    return taken;
+  }
+
+  @Override
+  public void close() {
+    duty.close();
+    lease.release();
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/launcher/launcher.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec java ${LANDINGTRACK_JAVA_OPTS:-} -jar "$0" "$@"
--- /dev/null
+++ b/standins/src/main/java/org/landingtrack/standins/BlockCache.java
@@ -0,0 +1,103 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.standins;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * An engine's prefix cache: bounded, least recently used first, the deepest blocks before others.
+ */
+final class BlockCache {
+  /** One cached block with the weight version that it was made under. */
+  private record Block(String group, String version) {}
+
+  private final int capacity;
+  private final EventLog events;
+  private final LinkedHashMap<String, Block> blocks = new LinkedHashMap<>(16, 0.75f, true);
+  private int versionViolations;
+
+  BlockCache(int capacity, EventLog events) {
+    this.capacity = capacity;
+    this.events = events;
+  }
+
+  /** Returns how many of the first keys are cached, and touches them. */
+  synchronized int reuse(List<String> keys, String version) {
+    int depth = 0;
+    while (depth < keys.size() && blocks.containsKey(keys.get(depth))) {
+      Block block = blocks.get(keys.get(depth));
+      if (block != null && !block.version.equals(version)) {
+        versionViolations++;
+        break;
+      }
+      depth++;
+    }
+    touch(keys.subList(0, depth));
+    return depth;
+  }
+
+  /** Touches the deepest first, so that it is also evicted first. */
+  private void touch(List<String> keys) {
+    List<String> reversed = new ArrayList<>(keys);
+    Collections.reverse(reversed);
+    for (String key : reversed) {
+      blocks.get(key);
+    }
+  }
+
+  synchronized void put(List<String> keys, String version) {
+    if (keys.isEmpty()) {
+      return;
+    }
+    String group = keys.get(0);
+    int fitting = Math.min(keys.size(), capacity);
+    for (String key : keys.subList(0, fitting)) {
+      if (blocks.put(key, new Block(group, version)) == null) {
+        events.add(group, key, "", true);
+      }
+    }
+    touch(keys.subList(0, fitting));
+    Iterator<Map.Entry<String, Block>> oldest = blocks.entrySet().iterator();
+    while (blocks.size() > capacity) {
+      Map.Entry<String, Block> evicted = oldest.next();
+      events.add(evicted.getValue().group, evicted.getKey(), "", false);
+      oldest.remove();
+    }
+  }
+
+  synchronized boolean holds(String key) {
+    return blocks.containsKey(key);
+  }
+
+  synchronized void clear() {
+    blocks.forEach((key, block) -> events.add(block.group, key, "", false));
+    blocks.clear();
+  }
+
+  synchronized void list(ArrayNode out) {
+    blocks.forEach((key, block) -> EventLog.add(out, block.group, key, "", true));
+  }
+
+  synchronized int versionViolations() {
+    return versionViolations;
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/landingtrack/standins/EngineServer.java
@@ -0,0 +1,423 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.standins;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.javalin.Javalin;
+import io.javalin.http.Context;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.ReentrantLock;
+import org.jspecify.annotations.Nullable;
+import org.landingtrack.internal.base.Duty;
+import org.landingtrack.internal.base.Hashes;
+import org.landingtrack.internal.base.Json;
+import org.landingtrack.internal.base.Ticker;
+
+/**
+ * A model engine: continuous batching with prefill and decode times, a bounded prefix cache,
+ * events, load reports, resume, cancel, export and import of kept state, and fenced orders.
+ *
+ * <p>Faults: {@code refuse}, {@code slowMs}, {@code cutAfter} (cuts the connection after so many
+ * tokens; the run goes on), {@code cutOnce} (so many requests are cut), {@code failRun}, {@code
+ * wrongAttempt}, {@code missToken}, {@code noEndMark}, {@code eventLagMs}, {@code dropEvents},
+ * {@code failExportAfter}, {@code loadLag} (reports no load).
+ */
+public final class EngineServer implements AutoCloseable {
+  private static final int BYTES_PER_TOKEN = 4;
+  private static final int BLOCK_TOKENS = 512;
+  private static final long KEEP_STREAMS_MS = 20_000;
+
+  private final EngineOptions options;
+  private final Faults faults = new Faults();
+  private final EventLog events = new EventLog(faults);
+  private final BlockCache cache;
+  private final WeightStore weightStore;
+  private final KvTransfer transfer;
+  private final Map<String, EngineStream> streams = new ConcurrentHashMap<>();
+  private final Map<String, Integer> runs = new ConcurrentHashMap<>();
+  private final ExecutorService executor = Executors.newCachedThreadPool(Duty.daemon("engine"));
+  private final Semaphore batch;
+  private final ReentrantLock prefill = new ReentrantLock(true);
+  private final AtomicLong queuedTokens = new AtomicLong();
+  private final AtomicInteger running = new AtomicInteger();
+  private final AtomicInteger queued = new AtomicInteger();
+  private final AtomicInteger staleOrders = new AtomicInteger();
+  private final AtomicLong promptTokens = new AtomicLong();
+  private final AtomicLong cachedTokens = new AtomicLong();
+  private final Javalin http;
+  private volatile String weightVersion;
+  private volatile boolean loading;
+  private long highestEpoch;
+
+  /** Starts an engine on a port; 0 takes a free one. */
+  public EngineServer(int port, EngineOptions options, WeightStore weightStore) {
+    this.options = options;
+    this.weightStore = weightStore;
+    this.cache = new BlockCache(options.cacheBlocks(), events);
+    this.transfer = new KvTransfer(cache, faults, options.kvBytesPerToken() * BLOCK_TOKENS);
+    this.batch = new Semaphore(options.maxConcurrent(), true);
+    this.weightVersion = options.weightVersion();
+    this.http =
+        StandinHttp.start(
+            port,
+            config -> {
+              faults.addRoute(config);
+              config.routes.post("/v1/chat/completions", this::complete);
+              config.routes.get("/v1/streams/{attempt}", this::resume);
+              config.routes.delete("/v1/streams/{attempt}", this::cancel);
+              config.routes.get("/v1/cache/events", this::events);
+              config.routes.get("/v1/cache", this::listing);
+              config.routes.get("/v1/status", this::status);
+              config.routes.post("/v1/orders/load", this::order);
+              config.routes.post("/v1/kv/import", this::importKept);
+              config.routes.post("/v1/kv/export", this::exportKept);
+              config.routes.get("/runs", ctx -> ctx.json(runs));
+            });
+  }
+
+  public int port() {
+    return http.port();
+  }
+
+  public String address() {
+    return "127.0.0.1:" + port();
+  }
+
+  public Faults faults() {
+    return faults;
+  }
+
+  /** Returns how often each prompt (its last message) was run. */
+  public Map<String, Integer> runs() {
+    return Map.copyOf(runs);
+  }
+
+  /** Returns how often blocks of another weight version were about to be used. */
+  public int versionViolations() {
+    return cache.versionViolations();
+  }
+
+  /** Returns how many orders with an old epoch were carried out. */
+  public int staleOrders() {
+    return staleOrders.get();
+  }
+
+  public String weightVersion() {
+    return weightVersion;
+  }
+
+  /** Returns all prompt tokens so far and how many of them were reused. */
+  public long[] tokens() {
+    return new long[] {promptTokens.get(), cachedTokens.get()};
+  }
+
+  private void complete(Context ctx) throws IOException, InterruptedException {
+    JsonNode body = Json.LENIENT.readTree(ctx.body());
+    JsonNode extra = body.path("landingtrack");
+    String wanted = extra.path("weight_version").asText();
+    if (faults.on("refuse") || loading || queued.get() >= options.maxQueued()) {
+      ctx.status(503).header("X-Not-Run", "true").result("busy");
+      return;
+    }
+    if (!wanted.equals(weightVersion)) {
+      ObjectNode conflict = Json.LENIENT.createObjectNode();
+      conflict.put("weight_version", weightVersion);
+      ctx.status(409).header("X-Not-Run", "true").result(conflict.toString());
+      return;
+    }
+    String attempt = extra.path("attempt").asText();
+    int from = extra.path("resume_offset").asInt(0);
+    EngineStream stream = new EngineStream(attempt, from);
+    streams.put(attempt, stream);
+    forgetOldStreams();
+    List<String> keys = new ArrayList<>();
+    extra.path("cache_keys").forEach(key -> keys.add(key.asText()));
+    queued.incrementAndGet();
+    executor.execute(() -> run(stream, body, keys, wanted, from));
+    follow(ctx, stream, from);
+  }
+
+  private void forgetOldStreams() {
+    long old = Ticker.SYSTEM.millis() - KEEP_STREAMS_MS;
+    streams.values().removeIf(stream -> stream.endedBefore(old));
+  }
+
+  private void run(
+      EngineStream stream, JsonNode body, List<String> keys, String version, int from) {
+    boolean inBatch = false;
+    try {
+      batch.acquire();
+      inBatch = true;
+      queued.decrementAndGet();
+      running.incrementAndGet();
+      String prompt = prompt(body);
+      if (!prefill(stream, prompt, keys, version)) {
+        return;
+      }
+      decode(stream, prompt, version, from, body.path("max_tokens").asInt(16));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } finally {
+      if (inBatch) {
+        running.decrementAndGet();
+        batch.release();
+      }
+      if (!stream.isWhole()) {
+        stream.end(stream.error().isEmpty() ? "ended" : stream.error());
+      }
+    }
+  }
+
+  private static String prompt(JsonNode body) {
+    StringBuilder prompt = new StringBuilder();
+    for (JsonNode message : body.path("messages")) {
+      prompt.append('<').append(message.path("role").asText()).append('>');
+      prompt.append(message.path("content").asText()).append('\n');
+    }
+    return prompt.toString();
+  }
+
+  private static String lastLine(String prompt) {
+    int end = prompt.length() - 1;
+    int start = prompt.lastIndexOf('>', end);
+    return prompt.substring(start + 1, Math.max(start + 1, end));
+  }
+
+  private boolean prefill(EngineStream stream, String prompt, List<String> keys, String version) {
+    int tokens = Math.max(1, prompt.length() / BYTES_PER_TOKEN);
+    queuedTokens.addAndGet(tokens);
+    prefill.lock();
+    try {
+      int reused = Math.min(tokens - 1, cache.reuse(keys, version) * BLOCK_TOKENS);
+      if (!stream.start(tokens, reused)) {
+        return false;
+      }
+      runs.merge(lastLine(prompt), 1, Integer::sum);
+      Faults.pause((long) ((tokens - reused) * options.prefillMsPerToken() + faults.of("slowMs")));
+      cache.put(keys, version);
+      promptTokens.addAndGet(tokens);
+      cachedTokens.addAndGet(reused);
+    } finally {
+      prefill.unlock();
+      queuedTokens.addAndGet(-tokens);
+    }
+    return true;
+  }
+
+  /**
+   * The answer is a function of prompt, version and offset, so that a resumed one can be checked.
+   */
+  public static String token(String prompt, String version, int offset) {
+    if (offset == 0) {
+      return "[" + lastLine(prompt) + "]";
+    }
+    long hash = Hashes.placement(prompt + version, Integer.toString(offset));
+    return " " + Long.toString(hash & 0xffff, 36);
+  }
+
+  private void decode(EngineStream stream, String prompt, String version, int from, int maxTokens) {
+    for (int i = from; i < maxTokens; i++) {
+      if (faults.on("failRun")) {
+        stream.end("the run failed on purpose");
+        return;
+      }
+      if (i > from) {
+        Faults.pause((long) options.decodeMs());
+      }
+      if (!stream.add(token(prompt, version, i))) {
+        return;
+      }
+    }
+    stream.end("");
+  }
+
+  private void resume(Context ctx) throws IOException, InterruptedException {
+    EngineStream stream = streams.get(ctx.pathParam("attempt"));
+    if (stream == null) {
+      ctx.status(404).result("no such stream");
+      return;
+    }
+    follow(ctx, stream, Integer.parseInt(param(ctx, "from", "0")));
+  }
+
+  private void follow(Context ctx, EngineStream stream, int from)
+      throws IOException, InterruptedException {
+    boolean cut = faults.on("cutAfter") && faults.takeOne("cutOnce");
+    ctx.res().setContentType("text/event-stream");
+    OutputStream out = ctx.res().getOutputStream();
+    ctx.res().flushBuffer();
+    for (int offset = from; ; offset++) {
+      @Nullable String token = stream.token(offset);
+      if (token == null) {
+        break;
+      }
+      if (cut && offset - from >= faults.of("cutAfter")) {
+        throw new UncheckedIOException(new IOException("cut on purpose"));
+      }
+      if (faults.on("missToken") && offset == 2 && faults.takeOne("missToken")) {
+        continue;
+      }
+      send(out, chunk(stream, offset, token).toString());
+    }
+    if (!stream.isWhole()) {
+      ObjectNode error = Json.LENIENT.createObjectNode();
+      send(out, error.put("attempt", stream.attempt()).put("error", stream.error()).toString());
+      return;
+    }
+    send(out, usage(stream).toString());
+    if (!faults.takeOne("noEndMark")) {
+      send(out, "[DONE]");
+    }
+  }
+
+  private ObjectNode chunk(EngineStream stream, int offset, String token) {
+    ObjectNode chunk = Json.LENIENT.createObjectNode();
+    String attempt = faults.takeOne("wrongAttempt") ? "another" : stream.attempt();
+    chunk.put("attempt", attempt).put("offset", offset);
+    chunk.putArray("choices").addObject().putObject("delta").put("content", token);
+    if (offset == 0) {
+      addLoad(chunk);
+    }
+    return chunk;
+  }
+
+  private void addLoad(ObjectNode chunk) {
+    if (!faults.on("loadLag")) {
+      chunk
+          .putObject("load")
+          .put("queued_tokens", queuedTokens.get())
+          .put("running", running.get());
+    }
+  }
+
+  private ObjectNode usage(EngineStream stream) {
+    int[] used = stream.usage();
+    ObjectNode chunk = Json.LENIENT.createObjectNode();
+    chunk.put("attempt", stream.attempt());
+    addLoad(chunk);
+    chunk
+        .putObject("usage")
+        .put("prompt_tokens", used[0])
+        .put("cached_tokens", used[1])
+        .put("completion_tokens", used[2]);
+    return chunk;
+  }
+
+  private static void send(OutputStream out, String data) throws IOException {
+    out.write(("data: " + data + "\n\n").getBytes(StandardCharsets.UTF_8));
+    out.flush();
+  }
+
+  private void cancel(Context ctx) {
+    EngineStream stream = streams.get(ctx.pathParam("attempt"));
+    boolean ran = stream != null && stream.cancel();
+    ctx.result("{\"ran\":" + ran + "}");
+  }
+
+  private void events(Context ctx) throws InterruptedException {
+    long waitMs = Math.min(10_000, Long.parseLong(param(ctx, "waitMs", "0")));
+    ObjectNode body = events.after(Long.parseLong(param(ctx, "after", "0")), waitMs);
+    body.put("weight_version", weightVersion);
+    ctx.contentType("application/json").result(body.toString());
+  }
+
+  private void listing(Context ctx) {
+    ObjectNode body = Json.LENIENT.createObjectNode();
+    body.put("sequence", events.sequence());
+    body.put("weight_version", weightVersion);
+    ArrayNode list = body.putArray("events");
+    cache.list(list);
+    ctx.contentType("application/json").result(body.toString());
+  }
+
+  private void status(Context ctx) {
+    ObjectNode body = Json.LENIENT.createObjectNode();
+    body.put("weight_version", weightVersion);
+    body.put("loading", loading);
+    body.put("running", running.get());
+    ctx.contentType("application/json").result(body.toString());
+  }
+
+  private synchronized void order(Context ctx) throws IOException {
+    JsonNode body = Json.LENIENT.readTree(ctx.body());
+    long epoch = body.path("epoch").asLong();
+    if (epoch < highestEpoch) {
+      if (options.checksFences()) {
+        ctx.status(412).result("an order with epoch " + highestEpoch + " was seen");
+        return;
+      }
+      staleOrders.incrementAndGet();
+    }
+    highestEpoch = Math.max(highestEpoch, epoch);
+    String version = body.path("weight_version").asText();
+    if (!loading && !version.equals(weightVersion)) {
+      loading = true;
+      executor.execute(() -> load(version));
+    }
+    ctx.result("{}");
+  }
+
+  private void load(String version) {
+    weightStore.load(options.loadMs());
+    cache.clear();
+    weightVersion = version;
+    loading = false;
+  }
+
+  private void importKept(Context ctx) throws IOException {
+    JsonNode body = Json.LENIENT.readTree(ctx.body());
+    long bytes = transfer.importKept(body, weightVersion);
+    if (bytes < 0) {
+      ctx.status(502).result("the kept state could not be read");
+      return;
+    }
+    ctx.contentType("application/json").result("{\"bytes\":" + bytes + "}");
+  }
+
+  private void exportKept(Context ctx) throws IOException {
+    @Nullable ObjectNode written = transfer.exportKept(Json.LENIENT.readTree(ctx.body()));
+    if (written == null) {
+      ctx.status(502).result("the store VM did not take it");
+      return;
+    }
+    ctx.contentType("application/json").result(written.toString());
+  }
+
+  private static String param(Context ctx, String name, String fallback) {
+    String value = ctx.queryParam(name);
+    return value == null ? fallback : value;
+  }
+
+  @Override
+  public void close() {
+    executor.shutdownNow();
+    http.stop();
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/landingtrack/standins/EngineStream.java
@@ -0,0 +1,102 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.standins;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** One run of a completion on an engine. It goes on when its reader goes away. Thread-safe. */
+final class EngineStream {
+  private final String attempt;
+  private final List<String> tokens = new ArrayList<>();
+  private final int firstOffset;
+  private boolean done;
+  private boolean started;
+  private boolean cancelled;
+  private String error = "";
+  private int promptTokens;
+  private int cachedTokens;
+  private long endedMs = Long.MAX_VALUE;
+
+  EngineStream(String attempt, int firstOffset) {
+    this.attempt = attempt;
+    this.firstOffset = firstOffset;
+  }
+
+  String attempt() {
+    return attempt;
+  }
+
+  synchronized boolean start(int allPromptTokens, int reusedTokens) {
+    if (cancelled) {
+      return false;
+    }
+    started = true;
+    promptTokens = allPromptTokens;
+    cachedTokens = reusedTokens;
+    return true;
+  }
+
+  synchronized boolean add(String token) {
+    tokens.add(token);
+    notifyAll();
+    return !cancelled;
+  }
+
+  synchronized void end(String why) {
+    done = true;
+    error = why;
+    endedMs = org.landingtrack.internal.base.Ticker.SYSTEM.millis();
+    notifyAll();
+  }
+
+  /** Cancels; returns true if it had started to run. */
+  synchronized boolean cancel() {
+    cancelled = true;
+    notifyAll();
+    return started;
+  }
+
+  synchronized boolean isCancelled() {
+    return cancelled;
+  }
+
+  synchronized boolean endedBefore(long ms) {
+    return endedMs < ms;
+  }
+
+  /** Waits for the token at an offset; null once there is none any more. */
+  synchronized @org.jspecify.annotations.Nullable String token(int offset)
+      throws InterruptedException {
+    int index = offset - firstOffset;
+    while (index >= tokens.size() && !done && !cancelled) {
+      wait(1_000);
+    }
+    return index >= 0 && index < tokens.size() ? tokens.get(index) : null;
+  }
+
+  synchronized boolean isWhole() {
+    return done && error.isEmpty() && !cancelled;
+  }
+
+  synchronized String error() {
+    return error;
+  }
+
+  synchronized int[] usage() {
+    return new int[] {promptTokens, cachedTokens, firstOffset + tokens.size()};
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/landingtrack/standins/Faults.java
@@ -0,0 +1,93 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.standins;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.javalin.config.JavalinConfig;
+import io.javalin.http.Context;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.landingtrack.internal.base.Json;
+
+/**
+ * Faults of one stand-in by name, each with a number; {@code POST /faults} with a JSON object sets
+ * some, 0 switches one off. Thread-safe.
+ */
+public final class Faults {
+  private final Map<String, Double> values = new ConcurrentHashMap<>();
+
+  /** Returns the number of a fault; 0 if it is off. */
+  public double of(String name) {
+    return values.getOrDefault(name, 0.0);
+  }
+
+  /** Returns true if a fault is on. */
+  public boolean on(String name) {
+    return of(name) != 0;
+  }
+
+  /** Sets a fault. */
+  public Faults set(String name, double value) {
+    values.put(name, value);
+    return this;
+  }
+
+  /** Uses up one of a counted fault; returns false if none is left. */
+  public boolean takeOne(String name) {
+    boolean[] taken = {false};
+    values.computeIfPresent(
+        name,
+        (key, left) -> {
+          if (left < 1) {
+            return left;
+          }
+          taken[0] = true;
+          return left - 1;
+        });
+    return taken[0];
+  }
+
+  /** Adds the route that switches faults. */
+  void addRoute(JavalinConfig config) {
+    config.routes.post("/faults", this::switchFaults);
+  }
+
+  private void switchFaults(Context ctx) {
+    try {
+      JsonNode body = Json.LENIENT.readTree(ctx.body());
+      body.properties().forEach(entry -> set(entry.getKey(), entry.getValue().asDouble()));
+      ctx.result(values.toString());
+    } catch (com.fasterxml.jackson.core.JsonProcessingException e) {
+      ctx.status(400).result("not JSON");
+    }
+  }
+
+  /** Waits as long as a fault says, in milliseconds. */
+  void sleepFor(String name) {
+    pause((long) of(name));
+  }
+
+  static void pause(long ms) {
+    if (ms <= 0) {
+      return;
+    }
+    try {
+      Thread.sleep(ms);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/landingtrack/standins/VmListServer.java
@@ -0,0 +1,102 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.standins;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.javalin.Javalin;
+import io.javalin.http.Context;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.landingtrack.internal.base.Json;
+import org.landingtrack.internal.base.Ticker;
+
+/**
+ * The VM list. {@code PUT /vms} sets it; answers lag behind by the fault {@code lagMs}; the fault
+ * {@code out} makes it answer 503.
+ */
+public final class VmListServer implements AutoCloseable {
+  private static final int MAX_HISTORY = 1_000;
+
+  private record Version(long atMs, JsonNode vms) {}
+
+  private final Deque<Version> history = new ArrayDeque<>();
+  private final Faults faults = new Faults();
+  private final Javalin http;
+
+  public VmListServer(int port) {
+    set(Json.LENIENT.createArrayNode());
+    this.http =
+        StandinHttp.start(
+            port,
+            config -> {
+              faults.addRoute(config);
+              config.routes.get("/vms", this::get);
+              config.routes.put("/vms", this::put);
+            });
+  }
+
+  public int port() {
+    return http.port();
+  }
+
+  public String url() {
+    return "http://127.0.0.1:" + port() + "/vms";
+  }
+
+  public Faults faults() {
+    return faults;
+  }
+
+  /** Sets the list; it is seen after the lag. */
+  public synchronized void set(ArrayNode vms) {
+    history.addLast(new Version(Ticker.SYSTEM.millis(), vms));
+    if (history.size() > MAX_HISTORY) {
+      history.removeFirst();
+    }
+  }
+
+  private void put(Context ctx) {
+    try {
+      set((ArrayNode) Json.LENIENT.readTree(ctx.body()).path("vms"));
+    } catch (com.fasterxml.jackson.core.JsonProcessingException | ClassCastException e) {
+      ctx.status(400).result("not a list of VMs");
+    }
+  }
+
+  private synchronized void get(Context ctx) {
+    if (faults.on("out")) {
+      ctx.status(503);
+      return;
+    }
+    long seen = Ticker.SYSTEM.millis() - (long) faults.of("lagMs");
+    JsonNode vms = history.getFirst().vms;
+    for (Version version : history) {
+      if (version.atMs <= seen) {
+        vms = version.vms;
+      }
+    }
+    ObjectNode body = Json.LENIENT.createObjectNode();
+    body.set("vms", vms);
+    ctx.contentType("application/json").result(body.toString());
+  }
+
+  @Override
+  public void close() {
+    http.stop();
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/landingtrack/standins/WeightStore.java
@@ -0,0 +1,42 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.standins;
+
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** The weight store: loads take longer when more than three run at once. Thread-safe. */
+public final class WeightStore {
+  private static final int FREE_LOADS = 3;
+
+  private final AtomicInteger loads = new AtomicInteger();
+  private final AtomicInteger most = new AtomicInteger();
+
+  /** Takes as long as a load takes now. */
+  void load(long loadMs) {
+    int now = loads.incrementAndGet();
+    most.accumulateAndGet(now, Math::max);
+    try {
+      Faults.pause(loadMs * Math.max(1, now - FREE_LOADS + 1));
+    } finally {
+      loads.decrementAndGet();
+    }
+  }
+
+  /** Returns the most loads that ever ran at once. */
+  public int most() {
+    return most.get();
+  }
+}
