Tests of the decisions and of every failure point of a call; a returned member is believed again

Cause: the thin path had no tests. Writing them found a real fault: a controller that was paused past its death never came back in the eyes of the others, and a partition never healed. News of a death stop travelling after a few datagrams, so the returned member never learned what to refute. Ruled out: sending news for longer (grows with the fleet's churn); believing any datagram of a dead member (an old one in flight would undo a death). Change: each datagram tells its receiver what the sender thinks of it unless that is ALIVE.

--- a/landingtrack/src/main/java/org/landingtrack/internal/controller/ControllerModule.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/controller/ControllerModule.java
@@ -53,6 +53,7 @@
   private static final int MAX_GROUPS = 200_000;
   private static final int MAX_EXPLANATIONS = 20_000;
   private static final long LEASE_MS = 6_000;
+  private static final long VISIBLE_WITHIN_MS = 3_000;
 
   /** One controller's share of the platform's rates; the platform itself refuses beyond its own. */
   private static final double READS_PER_SECOND = 50;
@@ -204,7 +205,8 @@
   @Provides
   @Singleton
   CatalogWriter writer(ObjectApi api, ConfigReplica replica) {
-    return new CatalogWriter(api, replica, System::currentTimeMillis, new SplittableRandom());
+    return new CatalogWriter(
+        api, replica, System::currentTimeMillis, new SplittableRandom(), VISIBLE_WITHIN_MS);
   }
 
   @Provides
--- a/landingtrack/src/main/java/org/landingtrack/internal/membership/Membership.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/membership/Membership.java
@@ -101,7 +101,7 @@
     probedVm = next.vm();
     probedSequence = ++sequence;
     answered = false;
-    out.add(new Outgoing(next.address(), probe(Probe.Type.PING, probedSequence, "")));
+    out.add(new Outgoing(next.address(), probe(Probe.Type.PING, probedSequence, "", next.vm())));
     return out;
   }
 
@@ -122,7 +122,8 @@
       Member helper = helpers.remove(random.nextInt(helpers.size()));
       out.add(
           new Outgoing(
-              helper.address(), probe(Probe.Type.PING_REQUEST, probedSequence, target.address())));
+              helper.address(),
+              probe(Probe.Type.PING_REQUEST, probedSequence, target.address(), helper.vm())));
     }
     return out;
   }
@@ -137,11 +138,13 @@
     switch (probe.type()) {
       case PING ->
           out.add(
-              new Outgoing(probe.from().address(), probe(Probe.Type.ACK, probe.sequence(), "")));
+              new Outgoing(
+                  probe.from().address(),
+                  probe(Probe.Type.ACK, probe.sequence(), "", probe.from().vm())));
       case PING_REQUEST -> {
         long own = ++sequence;
         relays.put(own, new Relay(probe.from().address(), probe.sequence(), nowMs));
-        out.add(new Outgoing(probe.target(), probe(Probe.Type.PING, own, "")));
+        out.add(new Outgoing(probe.target(), probe(Probe.Type.PING, own, "", "")));
       }
       case ACK -> {
         if (probe.sequence() == probedSequence) {
@@ -149,7 +152,7 @@
         }
         Relay relay = relays.remove(probe.sequence());
         if (relay != null) {
-          out.add(new Outgoing(relay.address, probe(Probe.Type.ACK, relay.sequence, "")));
+          out.add(new Outgoing(relay.address, probe(Probe.Type.ACK, relay.sequence, "", "")));
         }
       }
     }
@@ -164,7 +167,8 @@
     List<Outgoing> out = new ArrayList<>();
     for (Member member : members.values()) {
       if (out.size() < UPDATES_PER_PROBE && member.state() == State.ALIVE) {
-        out.add(new Outgoing(member.address(), probe(Probe.Type.PING, ++sequence, "")));
+        out.add(
+            new Outgoing(member.address(), probe(Probe.Type.PING, ++sequence, "", member.vm())));
       }
     }
     return out;
@@ -222,8 +226,17 @@
     timesToSend.put(vm, spread);
   }
 
-  private Probe probe(Probe.Type type, long number, String target) {
-    return new Probe(type, number, self, target, updates());
+  /**
+   * Makes a datagram. A receiver that is not thought alive is always told so: it may be back, and
+   * only it can refute that, long after the news of its death have stopped travelling.
+   */
+  private Probe probe(Probe.Type type, long number, String target, String receiver) {
+    List<Member> updates = updates();
+    Member view = members.get(receiver);
+    if (view != null && view.state() != State.ALIVE && !updates.contains(view)) {
+      updates.add(view);
+    }
+    return new Probe(type, number, self, target, updates);
   }
 
   private List<Member> updates() {
--- a/landingtrack/src/main/java/org/landingtrack/internal/operator/CatalogWriter.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/operator/CatalogWriter.java
@@ -46,23 +46,33 @@
  */
 public final class CatalogWriter {
   private static final int MAX_TRIES = 8;
-  private static final long VISIBLE_WITHIN_MS = 3_000;
   private static final long ANY_VERSION = -1;
 
   private final ObjectApi api;
   private final ConfigReplica replica;
   private final LongSupplier wallClock;
   private final RandomGenerator random;
+  private final long visibleWithinMs;
 
   /** The outcome of a change. */
   public record Outcome(long version, long revision, String changeId, boolean changed) {}
 
+  /**
+   * Creates a writer.
+   *
+   * @param visibleWithinMs how long an accepted change is waited for in the own replica
+   */
   public CatalogWriter(
-      ObjectApi api, ConfigReplica replica, LongSupplier wallClock, RandomGenerator random) {
+      ObjectApi api,
+      ConfigReplica replica,
+      LongSupplier wallClock,
+      RandomGenerator random,
+      long visibleWithinMs) {
     this.api = api;
     this.replica = replica;
     this.wallClock = wallClock;
     this.random = random;
+    this.visibleWithinMs = visibleWithinMs;
   }
 
   /** Creates or updates an object. */
@@ -239,7 +249,7 @@
   /** An operator who was answered should find the change here; elsewhere it takes its way. */
   private void awaitVisible(long revision) {
     try {
-      long end = System.nanoTime() + VISIBLE_WITHIN_MS * 1_000_000;
+      long end = System.nanoTime() + visibleWithinMs * 1_000_000;
       while (replica.revision() < revision && System.nanoTime() < end) {
         var unused = replica.awaitDeltaAfter(revision - 1, 100);
       }
--- /dev/null
+++ b/landingtrack/src/test/java/org/landingtrack/internal/dispatch/ModelRunTest.java
@@ -0,0 +1,290 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.dispatch;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.landingtrack.ErrorKind;
+import org.landingtrack.LandingtrackException;
+import org.landingtrack.RunState;
+import org.landingtrack.internal.base.Json;
+import org.landingtrack.internal.base.Ticker;
+import org.landingtrack.internal.catalog.BackendServer;
+import org.landingtrack.internal.catalog.Catalog;
+import org.landingtrack.internal.catalog.Kind;
+import org.landingtrack.internal.catalog.Service;
+import org.landingtrack.internal.engine.BackendClient;
+import org.landingtrack.internal.engine.CompletionCall;
+import org.landingtrack.internal.engine.CompletionOutcome;
+import org.landingtrack.internal.engine.PlainCall;
+import org.landingtrack.internal.engine.PlainOutcome;
+import org.landingtrack.internal.engine.TokenSink;
+import org.landingtrack.internal.engine.Usage;
+import org.landingtrack.internal.explain.Trace;
+import org.landingtrack.internal.routing.CostPolicy;
+import org.landingtrack.internal.routing.LoadReport;
+import org.landingtrack.internal.routing.ServerTable;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** What becomes of a request for every way in which attempts can end, in tables. */
+public final class ModelRunTest {
+  private static final int TOKENS = 5;
+  private static final Service SERVICE =
+      new Service("model", "v1", 1, 0, 0, 1_000_000, 10, 100, null);
+  private static final CompletionOutcome NOT_RUN = new CompletionOutcome.NotRun("busy", false, "");
+  private static final CompletionOutcome NO_CONNECTION =
+      new CompletionOutcome.NotRun("no connection", true, "");
+  private static final CompletionOutcome BROKEN = new CompletionOutcome.Broken("cut");
+  private static final CompletionOutcome FAILED = new CompletionOutcome.Failed("fault");
+  private static final CompletionOutcome LATE_QUEUED = new CompletionOutcome.TooLate(false);
+  private static final CompletionOutcome LATE_RAN = new CompletionOutcome.TooLate(true);
+  private static final CompletionOutcome WHOLE =
+      new CompletionOutcome.Whole(new Usage(10, 0, TOKENS));
+
+  /** One scripted call: the tokens that come before the end. */
+  private record Step(int upTo, CompletionOutcome end) {}
+
+  private static final class ScriptedClient implements BackendClient {
+    private final List<Step> steps;
+    private final List<String> calls = new ArrayList<>();
+    private int next;
+
+    ScriptedClient(List<Step> steps) {
+      this.steps = steps;
+    }
+
+    @Override
+    public CompletionOutcome complete(String address, CompletionCall call, TokenSink sink) {
+      calls.add("run " + call.weightVersion() + " from " + call.resumeOffset());
+      return play(call.resumeOffset(), sink);
+    }
+
+    @Override
+    public CompletionOutcome resume(String address, CompletionCall call, int from, TokenSink sink) {
+      calls.add("resume from " + from);
+      return play(from, sink);
+    }
+
+    private CompletionOutcome play(int from, TokenSink sink) {
+      Step step = steps.get(next++);
+      for (int i = from; i < step.upTo; i++) {
+        sink.token(i, "t" + i);
+      }
+      return step.end;
+    }
+
+    @Override
+    public Cancelled cancel(String address, String attempt) {
+      return Cancelled.UNKNOWN;
+    }
+
+    @Override
+    public long importKept(String a, String store, String manifest, List<String> keys, long ms) {
+      return 0;
+    }
+
+    @Override
+    public PlainOutcome plain(String address, PlainCall call) {
+      throw new UnsupportedOperationException();
+    }
+  }
+
+  private static final class Sink implements TokenSink {
+    private final List<String> tokens = new ArrayList<>();
+
+    @Override
+    public void token(int offset, String text) {
+      tokens.add(text);
+    }
+
+    @Override
+    public void load(LoadReport report) {}
+  }
+
+  private static final class CountingGate implements ClaimGate {
+    private int releases;
+
+    @Override
+    public void claim(String keyHash, String requestId) {
+      // Every claim succeeds.
+    }
+
+    @Override
+    public void release(String keyHash, String requestId) {
+      releases++;
+    }
+  }
+
+  private final Sink sink = new Sink();
+  private final CountingGate gate = new CountingGate();
+
+  private static Catalog catalog() {
+    List<Catalog.Update> updates = new ArrayList<>();
+    updates.add(new Catalog.Update(Kind.SERVICE, "llm", Optional.of(SERVICE)));
+    for (int i = 0; i < 4; i++) {
+      BackendServer server = new BackendServer("llm", "10.0.0." + i + ":1", "dc", 8, true, false);
+      updates.add(new Catalog.Update(Kind.BACKEND_SERVER, "r" + i, Optional.of(server)));
+    }
+    return Catalog.EMPTY.with(1, updates);
+  }
+
+  private DispatchReport run(ScriptedClient client, boolean noRepeat) throws InterruptedException {
+    sink.tokens.clear();
+    Catalog catalog = catalog();
+    SplittableRandom random = new SplittableRandom(1);
+    ModelDispatcher dispatcher =
+        new ModelDispatcher.Builder(
+                () -> catalog,
+                new ServerTable(),
+                new ServiceGates(() -> catalog, Ticker.SYSTEM),
+                client,
+                new CostPolicy(() -> random))
+            .setClaims(gate)
+            .build();
+    ModelRequest request =
+        new ModelRequest(
+            "id",
+            "team",
+            "llm",
+            SERVICE,
+            Json.LENIENT.createArrayNode(),
+            "prompt",
+            TOKENS,
+            0,
+            1,
+            noRepeat,
+            noRepeat ? "0123456789" : "",
+            Ticker.SYSTEM.millis() + 60_000);
+    return dispatcher.run(request, sink, new Trace());
+  }
+
+  private static Step end(CompletionOutcome outcome) {
+    return new Step(0, outcome);
+  }
+
+  private static Step cutAt(int token) {
+    return new Step(token, BROKEN);
+  }
+
+  private static Step whole() {
+    return new Step(TOKENS, WHOLE);
+  }
+
+  @DataProvider
+  public Object[][] wholeInTheEnd() {
+    return new Object[][] {
+      {"at once", false, List.of(whole()), 1},
+      {"refused, then elsewhere", false, List.of(end(NOT_RUN), whole()), 2},
+      {"no connection twice", false, List.of(end(NO_CONNECTION), end(NO_CONNECTION), whole()), 3},
+      {"not to be repeated, refused", true, List.of(end(NOT_RUN), whole()), 2},
+      {"cut before a token", false, List.of(cutAt(0), whole()), 2},
+      {"cut, resumed at its offset", false, List.of(cutAt(2), whole()), 1},
+      {"cut, resumed though not to be repeated", true, List.of(cutAt(2), whole()), 1},
+      {"cut, resume fails, elsewhere", false, List.of(cutAt(2), cutAt(0), whole()), 2},
+      {"cut twice on the way", false, List.of(cutAt(1), cutAt(3), whole()), 2},
+      {"the run failed, elsewhere", false, List.of(end(FAILED), whole()), 2},
+    };
+  }
+
+  @Test(dataProvider = "wholeInTheEnd")
+  public void noTokenIsMissingOrDoubled(
+      String name, boolean noRepeat, List<Step> steps, int attempts) throws Exception {
+    DispatchReport report = run(new ScriptedClient(steps), noRepeat);
+    assertEquals(report.attempts(), attempts, name);
+    assertEquals(sink.tokens, List.of("t0", "t1", "t2", "t3", "t4"), name);
+  }
+
+  @DataProvider
+  public Object[][] refusals() {
+    return new Object[][] {
+      // name, not to be repeated, steps, kind, runs at the engines at most
+      {"cut before a token", true, List.of(cutAt(0)), ErrorKind.OUTCOME_UNKNOWN, 1},
+      {"cut and not resumed", true, List.of(cutAt(2), cutAt(0)), ErrorKind.OUTCOME_UNKNOWN, 1},
+      {"failed in its run", true, List.of(end(FAILED)), ErrorKind.FAILED_IN_RUN, 1},
+      {"late in the queue", true, List.of(end(LATE_QUEUED)), ErrorKind.DEADLINE_BEFORE_RUN, 1},
+      {"late in its run", false, List.of(end(LATE_RAN)), ErrorKind.DEADLINE_IN_RUN, 1},
+      {
+        "all refuse",
+        true,
+        List.of(end(NOT_RUN), end(NOT_RUN), end(NOT_RUN), end(NOT_RUN)),
+        ErrorKind.NO_BACKEND_SERVER,
+        4
+      },
+      {
+        "may have run, then all refuse",
+        false,
+        List.of(cutAt(0), end(NOT_RUN), end(NOT_RUN), end(NOT_RUN)),
+        ErrorKind.OUTCOME_UNKNOWN,
+        4
+      },
+      {
+        "may have run, then late in the queue",
+        false,
+        List.of(cutAt(0), end(LATE_QUEUED)),
+        ErrorKind.OUTCOME_UNKNOWN,
+        2
+      },
+    };
+  }
+
+  /** "Not run" is said only when it is true, and a claim is given back exactly then. */
+  @Test(dataProvider = "refusals")
+  public void theRefusalSaysWhatIsKnown(
+      String name, boolean noRepeat, List<Step> steps, ErrorKind kind, int runs) {
+    ScriptedClient client = new ScriptedClient(steps);
+    int released = gate.releases;
+    LandingtrackException e =
+        expectThrows(LandingtrackException.class, () -> run(client, noRepeat));
+    assertEquals(e.kind(), kind, name + ": " + e.getMessage());
+    long attempts = client.calls.stream().filter(call -> call.startsWith("run")).count();
+    assertEquals(attempts, runs, name);
+    boolean gaveBack = gate.releases > released;
+    assertEquals(gaveBack, noRepeat && kind.runState() == RunState.NOT_RUN, name);
+  }
+
+  @Test
+  public void anotherWeightVersionIsTriedOnlyBeforeTheFirstToken() throws Exception {
+    CompletionOutcome otherVersion = new CompletionOutcome.NotRun("version", false, "v0");
+    List<Step> steps = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      steps.add(end(otherVersion));
+    }
+    steps.add(whole());
+    ScriptedClient client = new ScriptedClient(steps);
+    DispatchReport report = run(client, false);
+    assertEquals(report.weightVersion(), "v0");
+    assertTrue(client.calls.get(4).startsWith("run v0"), client.calls.toString());
+  }
+
+  @Test
+  public void aBrokenAnswerGoesOnUnderItsOwnWeightVersionOnly() {
+    CompletionOutcome otherVersion = new CompletionOutcome.NotRun("version", false, "v0");
+    ScriptedClient client =
+        new ScriptedClient(
+            List.of(cutAt(2), cutAt(0), end(otherVersion), end(otherVersion), end(otherVersion)));
+    expectThrows(LandingtrackException.class, () -> run(client, false));
+    for (String call : client.calls) {
+      assertTrue(!call.contains("v0"), client.calls.toString());
+    }
+  }
+}
--- /dev/null
+++ b/landingtrack/src/test/java/org/landingtrack/internal/kept/ExportPolicyTest.java
@@ -0,0 +1,76 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.kept;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.landingtrack.internal.catalog.Service;
+import org.landingtrack.internal.kept.ExportPolicy.ReturnRate;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public final class ExportPolicyTest {
+  private static final ReturnRate NEVER = new ReturnRate(1_000, 0);
+  private static final ReturnRate ALWAYS = new ReturnRate(1_000, 1_000);
+
+  private static Service service(double recompute, double link) {
+    return new Service("model", "v", 1, recompute, link, 1_000_000, 10, 10, "store");
+  }
+
+  private static List<String> chain(int shared, int own, String tail) {
+    List<String> keys = new ArrayList<>();
+    for (int i = 0; i < shared; i++) {
+      keys.add("s" + i);
+    }
+    for (int i = 0; i < own; i++) {
+      keys.add(tail + i);
+    }
+    return keys;
+  }
+
+  @DataProvider
+  public Object[][] cases() {
+    PrefixHistory once = PrefixHistory.first("s", chain(40, 2, "a"), 0);
+    PrefixHistory twice = once.visited(chain(40, 2, "b"), 60_000);
+    PrefixHistory third = twice.visited(chain(40, 2, "c"), 90_000);
+    return new Object[][] {
+      {"a returning part is exported without its tail", twice, NEVER, service(0, 0.01), 0, 40},
+      {"it stays so", third, NEVER, service(0, 0.01), 0, 40},
+      {"what is kept already is not exported again", twice, NEVER, service(0, 0.01), 40, 0},
+      {"first sight, prompts return", once, ALWAYS, service(0, 0.01), 0, 42},
+      {"first sight, prompts do not return", once, NEVER, service(0, 0.1), 0, 0},
+      {"links weigh too much", twice, ALWAYS, service(0, 100), 0, 0},
+      {"recomputing weighs more", twice, ALWAYS, service(10, 100), 0, 40},
+    };
+  }
+
+  @Test(dataProvider = "cases")
+  public void whatSavesMoreThanItMovesIsExported(
+      String name, PrefixHistory history, ReturnRate rate, Service service, int kept, int blocks) {
+    assertEquals(ExportPolicy.decide(history, rate, service, kept, 1_000).blocks(), blocks, name);
+  }
+
+  @Test
+  public void gapsAreSmoothed() {
+    PrefixHistory history =
+        PrefixHistory.first("s", chain(3, 0, ""), 0)
+            .visited(chain(3, 0, ""), 1_000)
+            .visited(chain(3, 0, ""), 3_000);
+    assertEquals(history.gapMs(), 1_300.0, 1e-9);
+  }
+}
--- /dev/null
+++ b/landingtrack/src/test/java/org/landingtrack/internal/lease/LeaseTest.java
@@ -0,0 +1,181 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.lease;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Random;
+import org.landingtrack.internal.base.FakeTicker;
+import org.landingtrack.internal.platform.FakeObjectApi;
+import org.landingtrack.internal.platform.FakeObjectApi.Fault;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public final class LeaseTest {
+  private static final long DURATION_MS = 1_000;
+
+  private final FakeObjectApi api = new FakeObjectApi();
+
+  private Lease lease(FakeObjectApi on, FakeTicker ticker, String self) {
+    return new Lease(on, ticker, "duty", self, DURATION_MS);
+  }
+
+  @Test
+  public void theHolderStopsWellBeforeOthersMayTakeOver() {
+    FakeTicker ticker = new FakeTicker();
+    FakeObjectApi own = new FakeObjectApi();
+    Lease a = lease(own, ticker, "a");
+    Lease b = lease(own, ticker, "b");
+    a.step();
+    b.step();
+    assertTrue(a.token().isPresent());
+    own.out(true);
+    ticker.pass(600);
+    assertTrue(a.token().isEmpty(), "holds longer than its share");
+    own.out(false);
+    ticker.pass(400);
+    b.step();
+    assertTrue(b.token().isEmpty(), "taken before the margin for drift");
+    ticker.pass(200);
+    b.step();
+    assertEquals(b.token(), OptionalLong.of(2));
+  }
+
+  /** A holder frozen beyond its lease wakes up: it must not believe, nor renew, the old epoch. */
+  @Test
+  public void aFrozenHolderWakesWithoutItsLease() {
+    FakeTicker clockA = new FakeTicker();
+    FakeTicker clockB = new FakeTicker();
+    FakeObjectApi own = new FakeObjectApi();
+    Lease a = lease(own, clockA, "a");
+    Lease b = lease(own, clockB, "b");
+    a.step();
+    b.step();
+    clockB.pass(1_200);
+    b.step();
+    assertEquals(b.token(), OptionalLong.of(2));
+    clockA.pass(1_200);
+    assertTrue(a.token().isEmpty());
+    a.step();
+    assertTrue(a.token().isEmpty());
+  }
+
+  @DataProvider
+  public Object[][] lostWrites() {
+    return new Object[][] {
+      {new Fault[] {Fault.LOST_ANSWER}},
+      {new Fault[] {Fault.LOST_CALL}},
+      {new Fault[] {Fault.OUT}},
+      {new Fault[] {Fault.LOST_ANSWER, Fault.LOST_ANSWER}},
+      {new Fault[] {Fault.LOST_ANSWER, Fault.LOST_CALL, Fault.OUT}},
+    };
+  }
+
+  /** A renewal without an answer does not count, whether or not it took effect. */
+  @Test(dataProvider = "lostWrites")
+  public void aWriteWithoutAnAnswerGivesNoHolding(Fault[] faults) {
+    FakeTicker ticker = new FakeTicker();
+    FakeObjectApi own = new FakeObjectApi();
+    own.failWrites(faults);
+    Lease a = lease(own, ticker, "a");
+    for (int i = 0; i < faults.length; i++) {
+      a.step();
+      assertFalse(a.token().isPresent(), "held without an answer");
+    }
+    for (int i = 0; i < 20 && a.token().isEmpty(); i++) {
+      ticker.pass(200);
+      a.step();
+    }
+    assertTrue(a.token().isPresent(), "never recovered");
+  }
+
+  @DataProvider
+  public Object[][] seeds() {
+    return new Object[][] {{11L}, {12L}, {13L}, {14L}, {15L}, {16L}};
+  }
+
+  /** Never two holders at once, and never the same epoch twice, whatever fails. */
+  @Test(dataProvider = "seeds")
+  public void atMostOneHolderWhateverFails(long seed) {
+    Random random = new Random(seed);
+    FakeObjectApi own = new FakeObjectApi();
+    FakeTicker ticker = new FakeTicker();
+    List<Lease> leases = new ArrayList<>();
+    List<Long> lastEpoch = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      leases.add(lease(own, ticker, "vm-" + i));
+      lastEpoch.add(-1L);
+    }
+    int held = 0;
+    for (int step = 0; step < 2_000; step++) {
+      if (random.nextInt(10) == 0) {
+        own.failWrites(Fault.values()[random.nextInt(3)]);
+      }
+      ticker.pass(random.nextInt(150));
+      // Some are not stepped for a long time, as if frozen.
+      int index = random.nextInt(random.nextInt(4) + 1);
+      leases.get(index).step();
+      int holders = 0;
+      for (int i = 0; i < leases.size(); i++) {
+        OptionalLong token = leases.get(i).token();
+        if (token.isPresent()) {
+          holders++;
+          for (int other = 0; other < leases.size(); other++) {
+            assertTrue(
+                other == i
+                    || lastEpoch.get(other) < token.getAsLong()
+                    || lastEpoch.get(other) > token.getAsLong(),
+                "an epoch was held twice");
+          }
+          lastEpoch.set(i, token.getAsLong());
+        }
+      }
+      held += holders;
+      assertTrue(holders <= 1, "two holders at step " + step);
+    }
+    assertTrue(held > 0, "nobody ever held the lease");
+  }
+
+  @Test
+  public void aReleasedLeaseIsTakenAtOnceWithANewEpoch() {
+    FakeTicker ticker = new FakeTicker();
+    Lease a = lease(api, ticker, "a");
+    Lease b = lease(api, ticker, "b");
+    a.step();
+    a.release();
+    b.step();
+    assertEquals(b.token(), OptionalLong.of(2));
+  }
+
+  /** The same VM after a restart must not go on under its old epoch. */
+  @Test
+  public void aRestartedHolderTakesANewEpoch() {
+    FakeTicker ticker = new FakeTicker();
+    FakeObjectApi own = new FakeObjectApi();
+    lease(own, ticker, "a").step();
+    Lease restarted = lease(own, ticker, "a");
+    restarted.step();
+    assertTrue(restarted.token().isEmpty());
+    ticker.pass(1_200);
+    restarted.step();
+    assertEquals(restarted.token(), OptionalLong.of(2));
+  }
+}
--- /dev/null
+++ b/landingtrack/src/test/java/org/landingtrack/internal/membership/MembershipTest.java
@@ -0,0 +1,178 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.membership;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.landingtrack.internal.membership.Member.State;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public final class MembershipTest {
+  private static final long PERIOD_MS = 100;
+
+  /** Members whose datagrams pass through a table of who reaches whom. */
+  private static final class Network {
+    private final Map<String, Membership> byAddress = new HashMap<>();
+    private final Set<String> down = new HashSet<>();
+    private final Set<String> cut = new HashSet<>();
+    private final Random random;
+    private double loss;
+    private long nowMs;
+
+    Network(int size, long seed) {
+      random = new Random(seed);
+      List<Member> all = new ArrayList<>();
+      for (int i = 0; i < size; i++) {
+        all.add(new Member("vm-" + i, "dc", "r", "a" + i, State.ALIVE, 1));
+      }
+      for (Member self : all) {
+        Membership membership =
+            new Membership(self, PERIOD_MS, new SplittableRandom(seed * 31 + all.indexOf(self)));
+        membership.seed(all, 0);
+        byAddress.put(self.address(), membership);
+      }
+    }
+
+    void run(int periods) {
+      for (int i = 0; i < periods; i++) {
+        nowMs += PERIOD_MS / 2;
+        byAddress.forEach((address, m) -> deliver(address, m.halfTick()));
+        nowMs += PERIOD_MS / 2;
+        byAddress.forEach((address, m) -> deliver(address, m.tick(nowMs)));
+      }
+    }
+
+    private void deliver(String from, List<Probe.Outgoing> outgoing) {
+      for (Probe.Outgoing out : outgoing) {
+        boolean lost =
+            down.contains(from)
+                || down.contains(out.address())
+                || cut.contains(from + out.address())
+                || random.nextDouble() < loss;
+        if (!lost) {
+          deliver(out.address(), byAddress.get(out.address()).receive(out.probe(), nowMs));
+        }
+      }
+    }
+
+    State seen(int by, int of) {
+      for (Member member : byAddress.get("a" + by).members()) {
+        if (member.vm().equals("vm-" + of)) {
+          return member.state();
+        }
+      }
+      return State.LEFT;
+    }
+  }
+
+  @DataProvider
+  public Object[][] sizes() {
+    return new Object[][] {{2, 1L}, {5, 2L}, {9, 3L}, {40, 4L}};
+  }
+
+  @Test(dataProvider = "sizes")
+  public void aDeadMemberIsFoundByAll(int size, long seed) {
+    Network network = new Network(size, seed);
+    network.run(20);
+    network.down.add("a0");
+    network.run(3 * size + 30);
+    for (int i = 1; i < size; i++) {
+      assertEquals(network.seen(i, 0), State.DEAD, "as vm-" + i + " sees it");
+    }
+  }
+
+  @Test(dataProvider = "sizes")
+  public void aPausedMemberRefutesItsDeath(int size, long seed) {
+    Network network = new Network(size, seed);
+    network.run(20);
+    network.down.add("a0");
+    network.run(3 * size + 30);
+    network.down.clear();
+    network.run(10 * size + 60);
+    for (int i = 1; i < size; i++) {
+      assertEquals(network.seen(i, 0), State.ALIVE, "as vm-" + i + " sees it");
+    }
+    assertTrue(network.byAddress.get("a0").self().incarnation() > 1);
+  }
+
+  /** One cut link must not make a death, since others still reach the member. */
+  @Test
+  public void aCutBetweenTwoMembersIsNoDeath() {
+    Network network = new Network(6, 9);
+    network.cut.add("a1a0");
+    network.cut.add("a0a1");
+    network.run(200);
+    for (int i = 1; i < 6; i++) {
+      assertTrue(network.seen(i, 0) != State.DEAD, "as vm-" + i + " sees it");
+    }
+  }
+
+  @Test
+  public void lossOfDatagramsMakesNoLastingDeath() {
+    Network network = new Network(12, 5);
+    network.loss = 0.1;
+    network.run(300);
+    network.loss = 0;
+    network.run(150);
+    for (int by = 0; by < 12; by++) {
+      for (int of = 0; of < 12; of++) {
+        assertEquals(network.seen(by, of), State.ALIVE, "vm-" + of + " as vm-" + by + " sees it");
+      }
+    }
+  }
+
+  @Test
+  public void aPartitionHeals() {
+    Network network = new Network(8, 6);
+    network.run(20);
+    for (int a = 0; a < 4; a++) {
+      for (int b = 4; b < 8; b++) {
+        network.cut.add("a" + a + "a" + b);
+        network.cut.add("a" + b + "a" + a);
+      }
+    }
+    network.run(80);
+    assertEquals(network.seen(0, 7), State.DEAD);
+    network.cut.clear();
+    network.run(200);
+    for (int by = 0; by < 8; by++) {
+      for (int of = 0; of < 8; of++) {
+        assertEquals(network.seen(by, of), State.ALIVE, "vm-" + of + " as vm-" + by + " sees it");
+      }
+    }
+  }
+
+  @Test
+  public void aDatagramNeverCarriesMoreThanAFewNews() {
+    Network network = new Network(60, 7);
+    network.run(30);
+    for (Membership membership : network.byAddress.values()) {
+      for (Probe.Outgoing out : membership.tick(network.nowMs)) {
+        assertTrue(out.probe().updates().size() <= 9);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/landingtrack/src/test/java/org/landingtrack/internal/operator/CatalogWriterTest.java
@@ -0,0 +1,177 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.operator;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.landingtrack.ErrorKind;
+import org.landingtrack.LandingtrackException;
+import org.landingtrack.internal.base.Json;
+import org.landingtrack.internal.catalog.Kind;
+import org.landingtrack.internal.catalog.StoredEntry;
+import org.landingtrack.internal.config.ConfigDelta;
+import org.landingtrack.internal.config.ConfigEntry;
+import org.landingtrack.internal.config.ConfigReplica;
+import org.landingtrack.internal.platform.FakeObjectApi;
+import org.landingtrack.internal.platform.FakeObjectApi.Fault;
+import org.landingtrack.internal.platform.ObjectApi;
+import org.landingtrack.internal.platform.StoredObject;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public final class CatalogWriterTest {
+  private static final Operator ANN = new Operator("ann", true, "here");
+
+  /** An API that feeds the replica at once, as the watch would. */
+  private static final class Fixture {
+    final FakeObjectApi api = new FakeObjectApi();
+    final ConfigReplica replica = new ConfigReplica();
+    final CatalogWriter writer =
+        new CatalogWriter(api, replica, () -> 1_000L, new SplittableRandom(1), 0);
+
+    Fixture() {
+      feed();
+    }
+
+    void feed() {
+      List<ConfigEntry> entries = new ArrayList<>();
+      long newest = 0;
+      for (StoredObject o :
+          api.list(ObjectApi.CallClass.CONFIGURATION, "config/", "", 1_000).objects()) {
+        entries.add(new ConfigEntry(o.key(), o.version(), o.revision(), o.value()));
+        newest = Math.max(newest, o.revision());
+      }
+      replica.merge(0, new ConfigDelta(newest, entries));
+    }
+
+    StoredEntry stored(String name) {
+      StoredObject object =
+          api.read(ObjectApi.CallClass.CONFIGURATION, StoredEntry.key(Kind.MODEL, name))
+              .orElseThrow();
+      return Json.read("stored", object.value(), StoredEntry.class);
+    }
+
+    CatalogWriter.Outcome put(int tokens, long expected) {
+      String spec = "{\"contextTokens\": " + tokens + ", \"kvBytesPerToken\": 1}";
+      return writer.put(ANN, Kind.MODEL, "m", spec, expected, false);
+    }
+  }
+
+  @DataProvider
+  public Object[][] lostAnswers() {
+    return new Object[][] {
+      {new Fault[] {}},
+      {new Fault[] {Fault.LOST_ANSWER}},
+      {new Fault[] {Fault.LOST_CALL}},
+      {new Fault[] {Fault.OUT, Fault.OUT}},
+      {new Fault[] {Fault.LOST_CALL, Fault.OUT, Fault.LOST_ANSWER}},
+      {new Fault[] {Fault.LOST_CALL, Fault.LOST_CALL, Fault.LOST_ANSWER, Fault.OUT}},
+    };
+  }
+
+  /** Whatever is lost, an accepted change stands exactly once, with exactly one audit entry. */
+  @Test(dataProvider = "lostAnswers")
+  public void anAcceptedChangeTookEffectExactlyOnce(Fault[] faults) {
+    Fixture f = new Fixture();
+    f.api.failWrites(faults);
+    CatalogWriter.Outcome outcome = f.put(10, 0);
+    assertEquals(outcome.version(), 1);
+    assertEquals(f.stored("m").audit().size(), 1);
+    assertEquals(f.stored("m").audit().get(0).changeId(), outcome.changeId());
+    assertEquals(f.api.writes(), 1);
+  }
+
+  @Test
+  public void aStaleVersionIsAConflictThatNamesTheCurrentOne() {
+    Fixture f = new Fixture();
+    f.put(10, 0);
+    f.feed();
+    f.put(20, 1);
+    f.feed();
+    LandingtrackException e = expectThrows(LandingtrackException.class, () -> f.put(30, 1));
+    assertEquals(e.kind(), ErrorKind.VERSION_CONFLICT);
+    assertEquals(e.getMessage(), "model/m has version 2, not 1; read it again");
+  }
+
+  @Test
+  public void anOutageChangesNothingAndSaysSo() {
+    Fixture f = new Fixture();
+    f.api.out(true);
+    LandingtrackException e = expectThrows(LandingtrackException.class, () -> f.put(10, 0));
+    assertEquals(e.kind(), ErrorKind.PLATFORM_UNAVAILABLE);
+    f.api.out(false);
+    assertEquals(f.api.writes(), 0);
+  }
+
+  /** Operators race on one object: every accepted change is in the trail, no version twice. */
+  @Test
+  public void racingOperatorsGetConflictsAndNoChangeIsLost() throws Exception {
+    Fixture f = new Fixture();
+    f.put(1, 0);
+    ExecutorService threads = Executors.newFixedThreadPool(4);
+    List<Callable<List<String>>> operators = new ArrayList<>();
+    for (int o = 0; o < 4; o++) {
+      int own = o;
+      operators.add(
+          () -> {
+            List<String> accepted = new ArrayList<>();
+            for (int i = 0; i < 5; i++) {
+              try {
+                accepted.add(f.put(100 * (own + 1) + i, -1).changeId());
+              } catch (LandingtrackException e) {
+                assertEquals(e.kind(), ErrorKind.VERSION_CONFLICT);
+              }
+            }
+            return accepted;
+          });
+    }
+    List<String> accepted = new ArrayList<>();
+    for (Future<List<String>> future : threads.invokeAll(operators)) {
+      accepted.addAll(future.get());
+    }
+    threads.shutdownNow();
+    StoredEntry stored = f.stored("m");
+    assertEquals(stored.audit().size(), accepted.size() + 1);
+    assertEquals(stored.version(), accepted.size() + 1);
+    for (String changeId : accepted) {
+      assertTrue(stored.holdsChange(changeId));
+    }
+  }
+
+  @Test
+  public void theTrailIsBoundedAndSurvivesADelete() {
+    Fixture f = new Fixture();
+    for (int i = 0; i < 40; i++) {
+      f.put(10 + i, -1);
+      f.feed();
+    }
+    f.writer.delete(ANN, Kind.MODEL, "m", -1);
+    StoredEntry stored = f.stored("m");
+    assertEquals(stored.audit().size(), StoredEntry.MAX_AUDIT);
+    assertEquals(stored.audit().get(StoredEntry.MAX_AUDIT - 1).action(), "delete");
+    f.feed();
+    assertEquals(f.put(5, 0).version(), 42);
+  }
+}
--- /dev/null
+++ b/landingtrack/src/test/java/org/landingtrack/internal/routing/CostPolicyTest.java
@@ -0,0 +1,146 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.routing;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.landingtrack.internal.peer.Messages.Holder;
+import org.landingtrack.internal.prefix.PrefixChain;
+import org.landingtrack.internal.routing.RouteQuery.Links;
+import org.landingtrack.internal.routing.RouteQuery.Weights;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public final class CostPolicyTest {
+  private static final PrefixChain CHAIN =
+      PrefixChain.of("t", "s", "v", "x".repeat(100 * PrefixChain.BLOCK_BYTES));
+  private static final Links FAST = new Links(1_000_000, Long.MAX_VALUE, 1_000, 1);
+  private static final Weights TTFT = new Weights(1, 0, 0);
+  private static final long NOW = 10_000;
+
+  private final CostPolicy policy = new CostPolicy(() -> new SplittableRandom(1));
+
+  private static ServerView server(String name, long pendingTokens, double share) {
+    return new ServerView(name, "dc", 8, "v", 0, pendingTokens, LoadReport.NONE, 0, 0.05, share);
+  }
+
+  private static RouteQuery query(
+      List<ServerView> servers, List<Holder> holders, Weights weights, Links links) {
+    return new RouteQuery(CHAIN, servers, holders, weights, links, "dc", NOW);
+  }
+
+  @DataProvider
+  public Object[][] choices() {
+    List<ServerView> idle = List.of(server("a", 0, 1), server("b", 0, 1), server("c", 0, 1));
+    Holder onB = new Holder("b", 100, "");
+    Holder kept = new Holder("store", 100, "manifest");
+    List<ServerView> busyB =
+        List.of(server("a", 0, 1), server("b", 200_000, 1), server("c", 900_000, 1));
+    List<ServerView> sickB = List.of(server("a", 0, 1), server("b", 0, 0), server("c", 900_000, 1));
+    Links slow = new Links(1, Long.MAX_VALUE, 1_000, 1);
+    Links empty = new Links(1_000_000, 1_000, 1_000, 1);
+    Weights link = new Weights(0.001, 0.0001, 1_000);
+    return new Object[][] {
+      // case, servers, holders, weights, links, chosen server (empty: any), restores
+      {"the holder wins", idle, List.of(onB), TTFT, FAST, "b", false},
+      {"a busy holder loses to a restore", busyB, List.of(onB, kept), TTFT, FAST, "a", true},
+      {"a busy holder loses to computing", busyB, List.of(onB), TTFT, FAST, "a", false},
+      {"an ejected holder is left out", sickB, List.of(onB), TTFT, FAST, "a", false},
+      {"a restore beats computing", idle, List.of(kept), TTFT, FAST, "", true},
+      {"a slow link loses to computing", idle, List.of(kept), TTFT, slow, "", false},
+      {"no restore beyond the budget", idle, List.of(kept), TTFT, empty, "", false},
+      {"who weighs links recomputes", idle, List.of(kept), link, FAST, "", false},
+    };
+  }
+
+  @Test(dataProvider = "choices")
+  public void theCheapestWayWins(
+      String name,
+      List<ServerView> servers,
+      List<Holder> holders,
+      Weights weights,
+      Links links,
+      String server,
+      boolean restores) {
+    RouteOption chosen =
+        policy.decide(query(servers, holders, weights, links)).chosen().orElseThrow();
+    if (!server.isEmpty()) {
+      assertEquals(chosen.server(), server, name + ": " + chosen.sentence());
+    }
+    assertEquals(chosen.restores(), restores, name + ": " + chosen.sentence());
+  }
+
+  @Test
+  public void withoutAnyKnowledgeAPromptKeepsItsServer() {
+    List<ServerView> servers = new ArrayList<>();
+    for (int i = 0; i < 100; i++) {
+      servers.add(server("s" + i, 0, 1));
+    }
+    String first =
+        policy.decide(query(servers, List.of(), TTFT, FAST)).chosen().orElseThrow().server();
+    for (int i = 0; i < 20; i++) {
+      RouteDecision again = policy.decide(query(servers, List.of(), TTFT, FAST));
+      assertEquals(again.chosen().orElseThrow().server(), first);
+    }
+  }
+
+  @Test
+  public void aStaleReportIsUnknownAndNeverIdle() {
+    LoadReport old = new LoadReport(0, 0, NOW - 60_000);
+    ServerView stale = new ServerView("a", "dc", 8, "v", 1, 5_000, old, 0, 0.05, 1);
+    assertEquals(CostModel.queueMs(stale, NOW), 5_000 * 0.05, 1e-9);
+    ServerView quiet = new ServerView("a", "dc", 8, "v", 0, 0, old, 0, 0.05, 1);
+    assertTrue(CostModel.queueMs(quiet, NOW) > 0);
+  }
+
+  @Test
+  public void aFreshReportIsCorrectedByWhatWasSentSince() {
+    LoadReport fresh = new LoadReport(1_000, 1, NOW - 100);
+    ServerView view = new ServerView("a", "dc", 8, "v", 1, 0, fresh, 3_000, 0.05, 1);
+    assertEquals(CostModel.queueMs(view, NOW), 4_000 * 0.05, 1e-9);
+  }
+
+  @Test
+  public void noUsableServerGivesNoOption() {
+    RouteDecision decision =
+        policy.decide(query(List.of(server("a", 0, 0)), List.of(), TTFT, FAST));
+    assertTrue(decision.chosen().isEmpty());
+    assertEquals(decision.rejected().size(), 1);
+  }
+
+  @Test
+  public void failuresEjectAndRecoveryIsSlow() {
+    var spec =
+        new org.landingtrack.internal.catalog.BackendServer("s", "1.1.1.1:1", "dc", 8, true, false);
+    ServerState state =
+        new ServerState(
+            new org.landingtrack.internal.catalog.Catalog.NamedBackendServer("a", spec));
+    state.failed(0);
+    state.failed(0);
+    assertTrue(state.view(0).isUsable());
+    state.failed(0);
+    assertEquals(state.view(999).isUsable(), false);
+    assertTrue(state.view(1_001).isUsable());
+    assertTrue(state.view(1_001).share() < 0.5, "no slow start");
+    state.succeeded(2_000);
+    assertTrue(state.view(2_100).share() < 0.5, "slow start ended by one answer");
+    assertEquals(state.view(12_001).share(), 1.0);
+  }
+}
--- /dev/null
+++ b/landingtrack/src/test/java/org/landingtrack/internal/weights/RollPlanTest.java
@@ -0,0 +1,72 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.weights;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.landingtrack.internal.weights.RollPlan.EngineState;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public final class RollPlanTest {
+  private static List<EngineState> engines(int old, int loading, int done, int silent) {
+    List<EngineState> engines = new ArrayList<>();
+    for (int i = 0; i < old; i++) {
+      engines.add(new EngineState("old-" + i, true, "v1", false, old - i));
+    }
+    for (int i = 0; i < loading; i++) {
+      engines.add(new EngineState("loading-" + i, true, "v1", true, 0));
+    }
+    for (int i = 0; i < done; i++) {
+      engines.add(new EngineState("done-" + i, true, "v2", false, 0));
+    }
+    for (int i = 0; i < silent; i++) {
+      engines.add(new EngineState("silent-" + i, false, "", false, 0));
+    }
+    return engines;
+  }
+
+  @DataProvider
+  public Object[][] plans() {
+    return new Object[][] {
+      // old, loading, done, silent, loads elsewhere, expected
+      {12, 0, 0, 0, 0, 3},
+      {10, 2, 0, 0, 0, 1},
+      {9, 3, 0, 0, 0, 0},
+      {12, 0, 0, 0, 2, 1},
+      {12, 0, 0, 0, 3, 0},
+      {4, 0, 0, 0, 0, 1},
+      {1, 0, 0, 0, 0, 1},
+      {3, 0, 0, 1, 0, 0},
+      {0, 0, 12, 0, 0, 0},
+      {2, 0, 10, 0, 0, 2},
+    };
+  }
+
+  @Test(dataProvider = "plans")
+  public void loadsAreRationed(
+      int old, int loading, int done, int silent, int elsewhere, int expected) {
+    List<String> next = RollPlan.next(engines(old, loading, done, silent), "v2", elsewhere);
+    assertEquals(next.size(), expected);
+  }
+
+  @Test
+  public void theLeastBusyGoesFirst() {
+    assertEquals(RollPlan.next(engines(4, 0, 0, 0), "v2", 0), List.of("old-3"));
+  }
+}
