--- /dev/null
+++ b/bench/src/main/java/org/landingtrack/bench/Deployment.java
@@ -0,0 +1,412 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.bench;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.Response;
+import org.landingtrack.internal.base.Hashes;
+import org.landingtrack.internal.base.Json;
+import org.landingtrack.internal.cli.CommandLineProgram;
+import org.landingtrack.standins.EngineOptions;
+import org.landingtrack.standins.EngineServer;
+import org.landingtrack.standins.ObjectApiServer;
+import org.landingtrack.standins.PlainServer;
+import org.landingtrack.standins.StoreServer;
+import org.landingtrack.standins.VmListServer;
+import org.landingtrack.standins.WeightStore;
+
+/**
+ * A small deployment on loopback: gateways and controllers as real processes, the stand-ins inside
+ * this one.
+ */
+public final class Deployment implements AutoCloseable {
+  /** The service of type model. */
+  public static final String LLM = "llm";
+
+  /** The service of type plain. */
+  public static final String PORTAL = "portal";
+
+  private static final String OPERATOR_KEY = "operator";
+  private static final String DATA_CENTRE = "dc-1";
+  private static final long READY_S = 60;
+
+  private final DeploymentPlan plan;
+  private final Path folder;
+  private final ObjectApiServer objectApi = new ObjectApiServer(0);
+  private final VmListServer vmList = new VmListServer(0);
+  private final WeightStore weightStore = new WeightStore();
+  private final List<EngineServer> engines = new ArrayList<>();
+  private final List<StoreServer> stores = new ArrayList<>();
+  private final List<PlainServer> plains = new ArrayList<>();
+  private final List<ChildProcess> controllers = new ArrayList<>();
+  private final List<ChildProcess> gateways = new ArrayList<>();
+  private final List<Integer> peerPorts = new ArrayList<>();
+  private final List<Integer> callerPorts = new ArrayList<>();
+  private final OkHttpClient probe =
+      new OkHttpClient.Builder().callTimeout(2, TimeUnit.SECONDS).build();
+
+  private Deployment(DeploymentPlan plan) {
+    this.plan = plan;
+    try {
+      this.folder = Files.createTempDirectory("deployment");
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** Starts a deployment with its configuration in force. */
+  public static Deployment start(DeploymentPlan plan) {
+    Deployment deployment = new Deployment(plan);
+    try {
+      deployment.startAll();
+      return deployment;
+    } catch (RuntimeException e) {
+      deployment.close();
+      throw e;
+    }
+  }
+
+  private void startAll() {
+    for (int i = 0; i < plan.engines(); i++) {
+      engines.add(new EngineServer(0, plan.engine(), weightStore));
+    }
+    for (int i = 0; i < plan.stores(); i++) {
+      stores.add(new StoreServer(0, plan.store()));
+    }
+    for (int i = 0; i < plan.plains(); i++) {
+      plains.add(new PlainServer("portal-" + i, 0));
+    }
+    for (int i = 0; i < plan.controllers(); i++) {
+      peerPorts.add(0);
+      controllers.add(startController(i));
+      peerPorts.set(i, controllers.get(i).port("peer"));
+      listVms(List.of());
+    }
+    for (int i = 0; i < plan.gateways(); i++) {
+      callerPorts.add(0);
+      gateways.add(startGateway(i));
+      callerPorts.set(i, gateways.get(i).port("callers"));
+    }
+    applyAll();
+    awaitAllReady();
+  }
+
+  private ChildProcess startController(int index) {
+    ObjectNode settings = common("controller", index);
+    ObjectNode ports = settings.putObject("ports");
+    ports.put("peer", peerPorts.get(index)).put("operators", 0).put("http", 0);
+    settings.putObject("platform").put("objectApi", objectApi.url()).put("vmList", vmList.url());
+    ArrayNode seeds = settings.putArray("seeds");
+    for (int i = 0; i < peerPorts.size(); i++) {
+      if (i != index && peerPorts.get(i) != 0) {
+        seeds.add("127.0.0.1:" + peerPorts.get(i));
+      }
+    }
+    settings
+        .putArray("operators")
+        .add("tester:writer:" + Hashes.sha256Hex(OPERATOR_KEY))
+        .add("looker:reader:" + Hashes.sha256Hex("reader"));
+    settings.putObject("membership").put("probeMs", plan.probeMs());
+    return launch("controller", index, settings);
+  }
+
+  private ChildProcess startGateway(int index) {
+    ObjectNode settings = common("gateway", index);
+    settings.putObject("callers").put("port", callerPorts.get(index));
+    ArrayNode addresses = settings.putArray("controllers");
+    for (int i = 0; i < peerPorts.size(); i++) {
+      addresses.add("127.0.0.1:" + peerPorts.get((index + i) % peerPorts.size()));
+    }
+    settings.putObject("routing").put("policy", plan.policy()).put("seed", plan.seed());
+    return launch("gateway", index, settings);
+  }
+
+  private static ObjectNode common(String process, int index) {
+    ObjectNode settings = Json.LENIENT.createObjectNode();
+    settings.put("process", process).put("vm", "entry-" + index).put("dataCentre", DATA_CENTRE);
+    return settings;
+  }
+
+  private ChildProcess launch(String process, int index, ObjectNode settings) {
+    Path file = folder.resolve(process + "-" + index + ".json");
+    try {
+      Files.writeString(file, settings.toString());
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    Path log = folder.resolve(process + "-" + index + ".log");
+    return ChildProcess.start(log, process, "--settings", file.toString());
+  }
+
+  /** Puts the entry VMs and the named leaving backend servers on the VM list. */
+  public void listVms(List<String> leavingServers) {
+    ArrayNode vms = Json.LENIENT.createArrayNode();
+    for (int i = 0; i < peerPorts.size(); i++) {
+      vms.addObject()
+          .put("name", "entry-" + i)
+          .put("role", "entry")
+          .put("data_centre", DATA_CENTRE)
+          .put("region", "default")
+          .put("address", "127.0.0.1:" + peerPorts.get(i))
+          .put("state", "live");
+    }
+    for (String server : leavingServers) {
+      vms.addObject()
+          .put("name", server)
+          .put("role", "backend-server")
+          .put("data_centre", DATA_CENTRE)
+          .put("state", "leaving");
+    }
+    vmList.set(vms);
+  }
+
+  private void applyAll() {
+    ObjectNode file = Json.LENIENT.createObjectNode();
+    ArrayNode objects = file.putArray("objects");
+    plan.objects().forEach(objects::add);
+    for (int i = 0; i < engines.size(); i++) {
+      objects.add(server("engine-" + i, LLM, engines.get(i).address(), plan.engine()));
+    }
+    for (int i = 0; i < stores.size(); i++) {
+      objects.add(server("store-" + i, "kept", stores.get(i).address(), plan.engine()));
+    }
+    for (int i = 0; i < plains.size(); i++) {
+      objects.add(
+          server("portal-" + i, PORTAL, "127.0.0.1:" + plains.get(i).port(), plan.engine()));
+    }
+    Path path = folder.resolve("objects.json");
+    try {
+      Files.writeString(path, file.toString());
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    await("a controller takes the configuration", () -> ctl(0, "status").code() == 0);
+    CtlResult result = ctl(0, "apply", path.toString());
+    if (result.code() != 0) {
+      throw new IllegalStateException("apply failed: " + result.text());
+    }
+  }
+
+  private static ObjectNode server(
+      String name, String service, String address, EngineOptions options) {
+    ObjectNode object = Json.LENIENT.createObjectNode();
+    object.put("kind", "backend-server").put("name", name);
+    object
+        .putObject("spec")
+        .put("service", service)
+        .put("address", address)
+        .put("dataCentre", DATA_CENTRE)
+        .put("maxConcurrent", options.maxConcurrent())
+        .put("checksFences", options.checksFences())
+        .put("draining", false);
+    return object;
+  }
+
+  /** Waits until every gateway has the newest configuration. */
+  public void awaitAllReady() {
+    for (int i = 0; i < gateways.size(); i++) {
+      awaitReady(i);
+    }
+    await(
+        "the configuration is in force everywhere",
+        () -> {
+          int servers = engines.size() + stores.size() + plains.size();
+          CtlResult status = ctl(0, "--output", "json", "status");
+          int objects = json(status.text()).path("objects").asInt();
+          long revision = json(status.text()).path("revision").asLong();
+          return objects >= servers + plan.objects().size() && gatewaysHave(revision);
+        });
+  }
+
+  private boolean gatewaysHave(long revision) {
+    for (int i = 0; i < gateways.size(); i++) {
+      if (gateways.get(i).isAlive() && metric(gatewayUrl(i), "config_revision") < revision) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Waits until a gateway is ready. */
+  public void awaitReady(int index) {
+    await("gateway " + index + " is ready", () -> isOk(gatewayUrl(index) + "/ready"));
+  }
+
+  /** Waits for a condition; fails after a long time that no verdict rests on. */
+  public static void await(String what, BooleanSupplier condition) {
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(READY_S);
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > end) {
+        throw new IllegalStateException("not so after " + READY_S + " s: " + what);
+      }
+      try {
+        Thread.sleep(20);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        throw new IllegalStateException("interrupted");
+      }
+    }
+  }
+
+  private boolean isOk(String url) {
+    try (Response response = probe.newCall(new Request.Builder().url(url).build()).execute()) {
+      return response.isSuccessful();
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  /** Reads one metric of a process; -1 if it does not answer. */
+  public double metric(String url, String name) {
+    try (Response response =
+        probe.newCall(new Request.Builder().url(url + "/metrics").build()).execute()) {
+      for (String line : response.body().string().split("\n", -1)) {
+        if (line.startsWith("landingtrack_" + name + " ")) {
+          return Double.parseDouble(line.substring(line.lastIndexOf(' ') + 1));
+        }
+      }
+    } catch (IOException e) {
+      // Not answering is a value of its own.
+    }
+    return -1;
+  }
+
+  static com.fasterxml.jackson.databind.JsonNode json(String text) {
+    try {
+      return Json.LENIENT.readTree(text.isBlank() ? "{}" : text);
+    } catch (IOException e) {
+      return Json.LENIENT.createObjectNode();
+    }
+  }
+
+  /** What {@code landingtrack ctl} printed and its exit code. */
+  public record CtlResult(int code, String text) {}
+
+  /** Runs {@code ctl} against a controller. */
+  public CtlResult ctl(int controller, String... words) {
+    return ctlAs(OPERATOR_KEY, controller, words);
+  }
+
+  /** Runs {@code ctl} with another operator's key. */
+  public CtlResult ctlAs(String key, int controller, String... words) {
+    List<String> args = new ArrayList<>(List.of("ctl", "--controller"));
+    args.add("127.0.0.1:" + controllers.get(controller).port("operators"));
+    args.addAll(List.of("--key", key));
+    args.addAll(List.of(words));
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    PrintStream out = new PrintStream(bytes, true, StandardCharsets.UTF_8);
+    int code = new CommandLineProgram(out, out).run(args.toArray(new String[0]));
+    return new CtlResult(code, bytes.toString(StandardCharsets.UTF_8));
+  }
+
+  /** Starts a controller again on the ports and VM name that it had. */
+  public void restartController(int index) {
+    controllers.get(index).close();
+    controllers.set(index, startController(index));
+  }
+
+  /** Starts a gateway again on the port that it had. */
+  public void restartGateway(int index) {
+    gateways.get(index).close();
+    gateways.set(index, startGateway(index));
+  }
+
+  /** Adds one more entry VM's controller. */
+  public int addController() {
+    int index = controllers.size();
+    peerPorts.add(0);
+    controllers.add(startController(index));
+    peerPorts.set(index, controllers.get(index).port("peer"));
+    return index;
+  }
+
+  public String gatewayUrl(int index) {
+    return "http://127.0.0.1:" + callerPorts.get(index);
+  }
+
+  public String controllerUrl(int index) {
+    return "http://127.0.0.1:" + controllers.get(index).port("http");
+  }
+
+  public ChildProcess gateway(int index) {
+    return gateways.get(index);
+  }
+
+  public ChildProcess controller(int index) {
+    return controllers.get(index);
+  }
+
+  public int gatewayCount() {
+    return gateways.size();
+  }
+
+  public int controllerCount() {
+    return controllers.size();
+  }
+
+  public List<EngineServer> engines() {
+    return engines;
+  }
+
+  public List<StoreServer> stores() {
+    return stores;
+  }
+
+  public List<PlainServer> plains() {
+    return plains;
+  }
+
+  public ObjectApiServer objectApi() {
+    return objectApi;
+  }
+
+  public VmListServer vmList() {
+    return vmList;
+  }
+
+  public WeightStore weightStore() {
+    return weightStore;
+  }
+
+  public Path folder() {
+    return folder;
+  }
+
+  @Override
+  public void close() {
+    gateways.forEach(ChildProcess::close);
+    controllers.forEach(ChildProcess::close);
+    engines.forEach(EngineServer::close);
+    stores.forEach(StoreServer::close);
+    plains.forEach(PlainServer::close);
+    objectApi.close();
+    vmList.close();
+  }
+}
--- /dev/null
+++ b/bench/src/test/java/org/landingtrack/bench/AtMostOnceProcessTest.java
@@ -0,0 +1,163 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.bench;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.landingtrack.bench.CallerClient.Answer;
+import org.landingtrack.internal.base.Hashes;
+import org.landingtrack.internal.claim.ClaimShards;
+import org.landingtrack.standins.EngineOptions;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** A request marked as not to be repeated runs at most once, whatever dies. */
+public final class AtMostOnceProcessTest {
+  private Deployment deployment;
+  private final CallerClient client = Calls.client();
+
+  @BeforeClass
+  public void start() {
+    deployment =
+        Deployment.start(
+            new DeploymentPlan.Builder()
+                .setControllers(3)
+                .setEngine(EngineOptions.small("v1").withDecodeMs(20))
+                .setPlains(2)
+                .build());
+  }
+
+  @AfterClass(alwaysRun = true)
+  public void stop() {
+    if (deployment != null) {
+      deployment.close();
+    }
+  }
+
+  @DataProvider
+  public Object[][] lostAnswers() {
+    return new Object[][] {{0}, {1}, {2}};
+  }
+
+  /** The same keys on two gateways at once, while answers to the platform's writes get lost. */
+  @Test(dataProvider = "lostAnswers")
+  public void theSameKeyOnTwoGatewaysAtOnceRunsOnce(int lost) throws Exception {
+    deployment.objectApi().faults().set("lostAnswers", lost);
+    List<Answer> answers =
+        Calls.together(
+            24,
+            i -> {
+              String name = "race " + lost + " " + i / 4;
+              return client.ask(deployment.gatewayUrl(i % 2), Calls.once(name, name));
+            });
+    for (int question = 0; question < 6; question++) {
+      String name = "race " + lost + " " + question;
+      int whole = 0;
+      for (Answer answer : answers.subList(question * 4, question * 4 + 4)) {
+        whole += answer.whole() ? 1 : 0;
+        assertTrue(answer.whole() || answer.kind().equals("DUPLICATE_KEY"), answer.toString());
+      }
+      assertEquals(whole, 1, name);
+      assertEquals(Calls.runs(deployment, name), 1, name);
+    }
+  }
+
+  /** The gateway dies while its request runs; the caller comes back through another one. */
+  @Test
+  public void aRetryAfterTheGatewaysDeathDoesNotRunAgain() throws Exception {
+    String name = "gateway dies";
+    Thread first = new Thread(() -> client.ask(deployment.gatewayUrl(0), Calls.once(name, name)));
+    first.start();
+    Deployment.await("it runs", () -> Calls.runs(deployment, name) == 1);
+    deployment.gateway(0).kill();
+    Answer second = client.ask(deployment.gatewayUrl(1), Calls.once(name, name));
+    first.join();
+    assertEquals(second.kind(), "DUPLICATE_KEY");
+    assertEquals(second.ran(), "unknown");
+    assertEquals(Calls.runs(deployment, name), 1);
+    deployment.restartGateway(0);
+    deployment.awaitReady(0);
+  }
+
+  /** The controller that owns the key's shard is frozen, another takes over, then it wakes up. */
+  @Test
+  public void aFrozenOwnerThatWakesUpDoesNotClaimAgain() throws Exception {
+    String name = "owner frozen";
+    int owner = ownerOf(name);
+    Answer before = client.ask(deployment.gatewayUrl(1), Calls.once("warm " + name, "w" + name));
+    assertTrue(before.whole(), before.toString());
+    deployment.controller(owner).freeze();
+    Answer first = client.ask(deployment.gatewayUrl(1), Calls.once(name, name));
+    deployment.controller(owner).resume();
+    assertTrue(first.whole() || first.ran().equals("not-run"), first.toString());
+    List<Answer> again = new ArrayList<>();
+    for (int i = 0; i < 6; i++) {
+      again.add(client.ask(deployment.gatewayUrl(i % 2), Calls.once(name, name)));
+    }
+    long whole = again.stream().filter(Answer::whole).count() + (first.whole() ? 1 : 0);
+    assertEquals(whole, 1, first + " then " + again);
+    assertEquals(Calls.runs(deployment, name), 1);
+  }
+
+  private int ownerOf(String requestKey) {
+    String hash =
+        Hashes.sha256Hex(Calls.TEAM + "\n" + Deployment.LLM + "\n" + requestKey).substring(0, 32);
+    List<String> vms = List.of("entry-0", "entry-1", "entry-2");
+    String owner = Hashes.rendezvous(ClaimShards.shardOf(hash), vms, vm -> vm).get(0);
+    return vms.indexOf(owner);
+  }
+
+  /** While the platform is out nothing is run; the refusal is true and the key stays free. */
+  @Test
+  public void anOutageRefusesTrulyAndTheKeyWorksAfterwards() {
+    String name = "platform out";
+    deployment.objectApi().faults().set("out", 1);
+    Answer refused = client.ask(deployment.gatewayUrl(0), Calls.once(name, name));
+    assertEquals(refused.kind(), "PLATFORM_UNAVAILABLE");
+    assertEquals(refused.ran(), "not-run");
+    assertEquals(Calls.runs(deployment, name), 0);
+    Answer other = client.ask(deployment.gatewayUrl(0), Calls.ask("may be repeated", 4));
+    assertTrue(other.whole(), "requests without a claim go on: " + other);
+    deployment.objectApi().faults().set("out", 0);
+    Deployment.await(
+        "the key works again",
+        () -> client.ask(deployment.gatewayUrl(1), Calls.once(name, name)).whole());
+    assertEquals(Calls.runs(deployment, name), 1);
+  }
+
+  /** An answer that is cut after the run must not lead to a second run. */
+  @Test
+  public void aCutPlainCallIsNotRepeated() throws Exception {
+    deployment.plains().forEach(plain -> plain.faults().set("dropAfterRun", 1));
+    PlainCaller caller = new PlainCaller(deployment.gatewayUrl(0), Calls.TEAM);
+    PlainCaller.Reply reply = caller.post(Deployment.PORTAL, "app/book", "order-7", "order-7");
+    assertEquals(reply.status(), 502);
+    assertEquals(reply.kind(), "OUTCOME_UNKNOWN");
+    PlainCaller.Reply again = caller.post(Deployment.PORTAL, "app/book", "order-7", "order-7");
+    assertEquals(again.kind(), "DUPLICATE_KEY");
+    int runs = 0;
+    for (var plain : deployment.plains()) {
+      plain.faults().set("dropAfterRun", 0);
+      runs += plain.runs().getOrDefault("order-7", 0);
+    }
+    assertEquals(runs, 1);
+  }
+}
--- /dev/null
+++ b/bench/src/test/java/org/landingtrack/bench/Calls.java
@@ -0,0 +1,112 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.bench;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.function.IntFunction;
+import org.landingtrack.bench.CallerClient.Answer;
+import org.landingtrack.bench.CallerClient.Ask;
+import org.landingtrack.standins.EngineServer;
+
+/** What several tests over processes share. */
+final class Calls {
+  static final String TEAM = "quotes";
+  private static final long DEADLINE_MS = 30_000;
+
+  private Calls() {}
+
+  static CallerClient client() {
+    return new CallerClient(60_000);
+  }
+
+  static Ask ask(String question, int tokens) {
+    return ask(TEAM, "handbook", question, tokens);
+  }
+
+  static Ask ask(String team, String system, String question, int tokens) {
+    return new Ask(
+        Deployment.LLM,
+        DeploymentPlan.teamKey(team),
+        system,
+        question,
+        tokens,
+        DEADLINE_MS,
+        false,
+        "");
+  }
+
+  static Ask once(String question, String key) {
+    return new Ask(
+        Deployment.LLM,
+        DeploymentPlan.teamKey(TEAM),
+        "handbook",
+        question,
+        8,
+        DEADLINE_MS,
+        true,
+        key);
+  }
+
+  /** Runs tasks at the same time and returns their results in order. */
+  static <T> List<T> together(int count, IntFunction<T> task) throws Exception {
+    ExecutorService threads = Executors.newFixedThreadPool(count);
+    try {
+      List<Future<T>> futures = new ArrayList<>();
+      for (int i = 0; i < count; i++) {
+        int index = i;
+        futures.add(threads.submit(() -> task.apply(index)));
+      }
+      List<T> results = new ArrayList<>();
+      for (Future<T> future : futures) {
+        results.add(future.get());
+      }
+      return results;
+    } finally {
+      threads.shutdownNow();
+    }
+  }
+
+  /** Checks that an answer is whole and is the one to its own question, token by token. */
+  static void assertOwnAndWhole(Ask ask, Answer answer, String weightVersion) {
+    assertTrue(answer.whole(), ask.question() + ": " + answer);
+    assertEquals(answer.text(), expected(ask, weightVersion));
+  }
+
+  static String expected(Ask ask, String weightVersion) {
+    String prompt = "<system>" + ask.system() + "\n<user>" + ask.question() + "\n";
+    StringBuilder text = new StringBuilder();
+    for (int i = 0; i < ask.maxTokens(); i++) {
+      text.append(EngineServer.token(prompt, weightVersion, i));
+    }
+    return text.toString();
+  }
+
+  /** Returns how often a question ran on all engines together. */
+  static int runs(Deployment deployment, String question) {
+    int runs = 0;
+    for (EngineServer engine : deployment.engines()) {
+      runs += engine.runs().getOrDefault(question, 0);
+    }
+    return runs;
+  }
+}
--- /dev/null
+++ b/bench/src/test/java/org/landingtrack/bench/ConfigProcessTest.java
@@ -0,0 +1,186 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.bench;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.landingtrack.bench.CallerClient.Answer;
+import org.landingtrack.internal.base.Json;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** An accepted configuration comes into force everywhere and never reverts. */
+public final class ConfigProcessTest {
+  private Deployment deployment;
+
+  @BeforeClass
+  public void start() {
+    deployment =
+        Deployment.start(new DeploymentPlan.Builder().setControllers(4).setEngines(2).build());
+  }
+
+  @AfterClass(alwaysRun = true)
+  public void stop() {
+    if (deployment != null) {
+      deployment.close();
+    }
+  }
+
+  /** Sets a number in a model that nothing depends on. */
+  private Deployment.CtlResult put(int controller, String name, int tokens) throws Exception {
+    ObjectNode file = Json.LENIENT.createObjectNode();
+    ObjectNode object = file.putArray("objects").addObject();
+    object.put("kind", "model").put("name", name);
+    object.putObject("spec").put("contextTokens", tokens).put("kvBytesPerToken", 1);
+    Path path = deployment.folder().resolve(name + "-" + tokens + ".json");
+    Files.writeString(path, file.toString());
+    return deployment.ctl(controller, "--wait", "30", "--output", "json", "apply", path.toString());
+  }
+
+  private int seenBy(int controller, String name) {
+    JsonNode object =
+        Deployment.json(
+            deployment.ctl(controller, "--output", "json", "get", "model", name).text());
+    return object.path("spec").path("contextTokens").asInt(-1);
+  }
+
+  private void awaitEverywhere(String name, int tokens) {
+    for (int c = 0; c < deployment.controllerCount(); c++) {
+      int index = c;
+      Deployment.await("controller " + c + " has it", () -> seenBy(index, name) == tokens);
+    }
+  }
+
+  @Test
+  public void aChangeThroughAnyControllerIsInForceEverywhere() throws Exception {
+    for (int i = 0; i < deployment.controllerCount(); i++) {
+      Deployment.CtlResult result = put(i, "everywhere", 100 + i);
+      assertEquals(result.code(), 0, result.text());
+      assertTrue(result.text().contains("in force on all"), result.text());
+      awaitEverywhere("everywhere", 100 + i);
+    }
+  }
+
+  @DataProvider
+  public Object[][] lost() {
+    return new Object[][] {{1}, {2}, {4}};
+  }
+
+  @Test(dataProvider = "lost")
+  public void aLostAnswerIsSettledAndWrittenOnce(int answers) throws Exception {
+    deployment.objectApi().faults().set("lostAnswers", answers);
+    String name = "lost-" + answers;
+    Deployment.CtlResult result = put(0, name, 7);
+    deployment.objectApi().faults().set("lostAnswers", 0);
+    assertEquals(result.code(), 0, result.text());
+    awaitEverywhere(name, 7);
+    String audit = deployment.ctl(1, "audit", "model", name).text();
+    assertEquals(audit.lines().count(), 1, audit);
+  }
+
+  @Test
+  public void racingOperatorsLoseNothingThatWasAccepted() throws Exception {
+    put(0, "raced", 1);
+    List<Deployment.CtlResult> results =
+        Calls.together(
+            6,
+            i -> {
+              try {
+                return put(i % 4, "raced", 1_000 + i);
+              } catch (Exception e) {
+                throw new IllegalStateException(e);
+              }
+            });
+    long accepted = results.stream().filter(result -> result.code() == 0).count();
+    for (Deployment.CtlResult result : results) {
+      assertTrue(result.code() == 0 || result.text().contains("VERSION_CONFLICT"), result.text());
+    }
+    Deployment.await(
+        "the trail holds every accepted change",
+        () -> deployment.ctl(2, "audit", "model", "raced").text().lines().count() == accepted + 1);
+  }
+
+  /** Restarts during an outage start from peers, and nobody falls back to older content. */
+  @Test
+  public void restartsDuringAnOutageKeepTheNewestConfiguration() throws Exception {
+    put(0, "outage", 1);
+    put(0, "outage", 2);
+    awaitEverywhere("outage", 2);
+    deployment.objectApi().faults().set("out", 1);
+    for (int i = 0; i < 2; i++) {
+      deployment.restartController(i);
+      int index = i;
+      Deployment.await("it has it from its peers", () -> seenBy(index, "outage") == 2);
+    }
+    deployment.restartGateway(0);
+    deployment.awaitReady(0);
+    Answer answer = Calls.client().ask(deployment.gatewayUrl(0), Calls.ask("during the outage", 3));
+    assertTrue(answer.whole(), answer.toString());
+    Deployment.CtlResult refused = put(2, "outage", 3);
+    assertEquals(refused.code(), 1);
+    assertTrue(refused.text().contains("PLATFORM_UNAVAILABLE"), refused.text());
+    deployment.objectApi().faults().set("out", 0);
+    Deployment.await(
+        "changes work again",
+        () -> {
+          try {
+            return put(3, "outage", 4).code() == 0;
+          } catch (Exception e) {
+            throw new IllegalStateException(e);
+          }
+        });
+    awaitEverywhere("outage", 4);
+  }
+
+  /** A controller that was frozen through some changes catches up and never answers older again. */
+  @Test
+  public void aFrozenControllerCatchesUp() throws Exception {
+    put(0, "frozen", 1);
+    awaitEverywhere("frozen", 1);
+    deployment.controller(3).freeze();
+    for (int tokens = 2; tokens <= 4; tokens++) {
+      put(0, "frozen", tokens);
+    }
+    deployment.controller(3).resume();
+    int last = 0;
+    while (last < 4) {
+      int seen = seenBy(3, "frozen");
+      assertTrue(seen >= last, "reverted from " + last + " to " + seen);
+      last = Math.max(last, seen);
+    }
+  }
+
+  @Test
+  public void aReaderMayNotWrite() {
+    Deployment.CtlResult read = deployment.ctlAs("reader", 0, "list", "team");
+    assertEquals(read.code(), 0, read.text());
+    Deployment.CtlResult write = deployment.ctlAs("reader", 0, "delete", "team", "quotes");
+    assertEquals(
+        write.text().trim(), "landingtrack ctl: FORBIDDEN: this call needs the writer role");
+    Deployment.CtlResult nobody = deployment.ctlAs("guess", 0, "list", "team");
+    assertEquals(
+        nobody.text().trim(),
+        "landingtrack ctl: UNAUTHENTICATED: the operator key is missing or not known");
+  }
+}
--- /dev/null
+++ b/bench/src/test/java/org/landingtrack/bench/StopAndDrainProcessTest.java
@@ -0,0 +1,183 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.bench;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.landingtrack.bench.CallerClient.Answer;
+import org.landingtrack.bench.CallerClient.Ask;
+import org.landingtrack.standins.EngineOptions;
+import org.landingtrack.standins.EngineServer;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** A planned stop cuts no request; a leaving backend server gets nothing new. */
+public final class StopAndDrainProcessTest {
+  private static final int TOKENS = 40;
+
+  private Deployment deployment;
+  private final CallerClient client = Calls.client();
+
+  @BeforeMethod
+  public void start() {
+    deployment =
+        Deployment.start(
+            new DeploymentPlan.Builder()
+                .setEngines(3)
+                .setEngine(EngineOptions.small("v1").withDecodeMs(20))
+                .build());
+  }
+
+  @AfterMethod(alwaysRun = true)
+  public void stop() {
+    if (deployment != null) {
+      deployment.close();
+    }
+  }
+
+  private List<Future<Answer>> launch(ExecutorService threads, int count, int gateway) {
+    List<Future<Answer>> running = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      Ask ask = Calls.ask("running " + i, TOKENS);
+      running.add(threads.submit(() -> client.ask(deployment.gatewayUrl(gateway), ask)));
+    }
+    return running;
+  }
+
+  private void awaitRunning(int count) {
+    Deployment.await(
+        "all run",
+        () -> {
+          int runs = 0;
+          for (EngineServer engine : deployment.engines()) {
+            runs += engine.runs().values().stream().mapToInt(Integer::intValue).sum();
+          }
+          return runs >= count;
+        });
+  }
+
+  @Test
+  public void aStoppingGatewayFinishesItsStreamsAndExitsWithZero() throws Exception {
+    ExecutorService threads = Executors.newCachedThreadPool();
+    List<Future<Answer>> running = launch(threads, 10, 0);
+    awaitRunning(10);
+    Future<Integer> code = threads.submit(() -> deployment.gateway(0).stop());
+    Deployment.await(
+        "it refuses new work",
+        () -> {
+          Answer refused = client.ask(deployment.gatewayUrl(0), Calls.ask("new work", 2));
+          return refused.kind().equals("STOPPING") || refused.status() == 0;
+        });
+    for (int i = 0; i < running.size(); i++) {
+      Answer answer = running.get(i).get(60, TimeUnit.SECONDS);
+      Calls.assertOwnAndWhole(Calls.ask("running " + i, TOKENS), answer, "v1");
+    }
+    assertEquals((int) code.get(60, TimeUnit.SECONDS), 0);
+    threads.shutdownNow();
+  }
+
+  @Test
+  public void aStoppingControllerCutsNothing() throws Exception {
+    ExecutorService threads = Executors.newCachedThreadPool();
+    List<Future<Answer>> running = launch(threads, 10, 0);
+    awaitRunning(10);
+    assertEquals(deployment.controller(0).stop(), 0);
+    Answer during = client.ask(deployment.gatewayUrl(0), Calls.ask("without its controller", 4));
+    assertTrue(during.whole(), during.toString());
+    for (int i = 0; i < running.size(); i++) {
+      Answer answer = running.get(i).get(60, TimeUnit.SECONDS);
+      Calls.assertOwnAndWhole(Calls.ask("running " + i, TOKENS), answer, "v1");
+    }
+    threads.shutdownNow();
+  }
+
+  private enum Signal {
+    OPERATOR,
+    VM_LIST,
+    VM_LIST_THAT_LAGS,
+    ITS_OWN,
+    OPERATOR_WITH_A_DEAD_CONTROLLER
+  }
+
+  @DataProvider
+  public Object[][] signals() {
+    return new Object[][] {
+      {Signal.OPERATOR},
+      {Signal.VM_LIST},
+      {Signal.VM_LIST_THAT_LAGS},
+      {Signal.ITS_OWN},
+      {Signal.OPERATOR_WITH_A_DEAD_CONTROLLER},
+    };
+  }
+
+  @Test(dataProvider = "signals")
+  public void aLeavingServerGetsNothingNewAndFinishesWhatItHas(Signal signal) throws Exception {
+    ExecutorService threads = Executors.newCachedThreadPool();
+    List<Future<Answer>> running = launch(threads, 9, 1);
+    awaitRunning(9);
+    EngineServer leaving = deployment.engines().get(0);
+    send(signal, leaving);
+    Deployment.await("nothing new arrives", () -> getsNothing(leaving));
+    int before = total(leaving);
+    for (int i = 0; i < 30; i++) {
+      Answer answer = client.ask(deployment.gatewayUrl(1), Calls.ask("after " + i, 2));
+      assertTrue(answer.whole(), answer.toString());
+    }
+    assertEquals(total(leaving), before, "new work on the leaving server");
+    for (int i = 0; i < running.size(); i++) {
+      Answer answer = running.get(i).get(60, TimeUnit.SECONDS);
+      Calls.assertOwnAndWhole(Calls.ask("running " + i, TOKENS), answer, "v1");
+    }
+    threads.shutdownNow();
+  }
+
+  private void send(Signal signal, EngineServer leaving) {
+    switch (signal) {
+      case OPERATOR -> assertEquals(deployment.ctl(0, "drain", "engine-0").code(), 0);
+      case VM_LIST -> deployment.listVms(List.of("engine-0"));
+      case VM_LIST_THAT_LAGS -> {
+        deployment.vmList().faults().set("lagMs", 1_000);
+        deployment.listVms(List.of("engine-0"));
+      }
+      case ITS_OWN -> leaving.faults().set("leaving", 1);
+      case OPERATOR_WITH_A_DEAD_CONTROLLER -> {
+        deployment.controller(1).kill();
+        assertEquals(deployment.ctl(0, "drain", "engine-0").code(), 0);
+      }
+    }
+  }
+
+  private boolean getsNothing(EngineServer leaving) {
+    int before = total(leaving);
+    for (int i = 0; i < 12; i++) {
+      client.ask(deployment.gatewayUrl(1), Calls.ask("probe " + before + " " + i, 1));
+    }
+    return total(leaving) == before;
+  }
+
+  private static int total(EngineServer engine) {
+    return engine.runs().values().stream().mapToInt(Integer::intValue).sum();
+  }
+}
--- a/landingtrack/src/main/java/org/landingtrack/internal/cli/ProcessCommand.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/cli/ProcessCommand.java
@@ -25,6 +25,7 @@
 import org.landingtrack.internal.gateway.GatewayProcess;
 import org.landingtrack.internal.settings.ControllerSettings;
 import org.landingtrack.internal.settings.GatewaySettings;
+import org.slf4j.LoggerFactory;
 
 /** Runs the gateway and the controller, and checks their settings. */
 final class ProcessCommand {
@@ -40,7 +41,8 @@
     GatewaySettings settings = GatewaySettings.read(file);
     Logs.configure(settings.logFormat(), settings.logLevel());
     GatewayProcess process = GatewayProcess.start(settings);
-    Runtime.getRuntime().addShutdownHook(new Thread(process::close, "stop"));
+    System.out.println("{\"callers\":" + process.port() + "}");
+    stopOnSignal(process);
     process.await();
     return ExitCodes.DONE;
   }
@@ -49,11 +51,29 @@
     ControllerSettings settings = ControllerSettings.read(file);
     Logs.configure(settings.logFormat(), settings.logLevel());
     ControllerProcess process = ControllerProcess.start(settings);
-    Runtime.getRuntime().addShutdownHook(new Thread(process::close, "stop"));
+    System.out.printf(
+        "{\"peer\":%d,\"operators\":%d,\"http\":%d}%n",
+        process.peerPort(), process.operatorsPort(), process.httpPort());
+    stopOnSignal(process);
     process.await();
     return ExitCodes.DONE;
   }
 
+  /** A planned stop ends with exit code 0, where the JVM would say that a signal ended it. */
+  private static void stopOnSignal(AutoCloseable process) {
+    Runnable stop =
+        () -> {
+          try {
+            process.close();
+            Runtime.getRuntime().halt(ExitCodes.DONE);
+          } catch (Exception e) {
+            LoggerFactory.getLogger("stop").error("The stop failed.", e);
+            Runtime.getRuntime().halt(ExitCodes.FAILED);
+          }
+        };
+    Runtime.getRuntime().addShutdownHook(new Thread(stop, "stop"));
+  }
+
   /** Reads a file by the key {@code process} in it, so that one command checks both kinds. */
   static int check(Path file) {
     if (isGateway(file)) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/config/ConfigFeed.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/config/ConfigFeed.java
@@ -106,10 +106,10 @@
   }
 
   private void feedOnce() {
-    Optional<String> parent = parentAddress();
+    Optional<Member> parent = parent();
     if (parent.isPresent()) {
       watchedRevision = -1;
-      pull(parent.get(), PULL_MS);
+      pull(parent.get().address(), PULL_MS);
       return;
     }
     if (watchedRevision < 0) {
@@ -122,7 +122,8 @@
     watch();
   }
 
-  private Optional<String> parentAddress() {
+  /** Returns the member that this one pulls from; empty if it watches the platform itself. */
+  public Optional<Member> parent() {
     Member self = membership.self();
     List<Member> local = new ArrayList<>();
     for (Member member : membership.usable()) {
@@ -132,8 +133,7 @@
     }
     List<String> names = local.stream().map(Member::vm).toList();
     Optional<String> parent = RelayTree.parent(self.vm(), self.dataCentre(), names);
-    return parent.flatMap(
-        vm -> local.stream().filter(m -> m.vm().equals(vm)).map(Member::address).findFirst());
+    return parent.flatMap(vm -> local.stream().filter(m -> m.vm().equals(vm)).findFirst());
   }
 
   private void tryPeersFirst() {
--- a/landingtrack/src/main/java/org/landingtrack/internal/controller/ControllerComponent.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/controller/ControllerComponent.java
@@ -62,6 +62,8 @@
 
   Gateways gateways();
 
+  LeavingServers leaving();
+
   CatalogWriter writer();
 
   WeightRoller roller();
--- a/landingtrack/src/main/java/org/landingtrack/internal/controller/ControllerModule.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/controller/ControllerModule.java
@@ -202,6 +202,12 @@
     return new Gateways();
   }
 
+  @Provides
+  @Singleton
+  LeavingServers leaving() {
+    return new LeavingServers();
+  }
+
   @Provides
   @Singleton
   CatalogWriter writer(ObjectApi api, ConfigReplica replica) {
@@ -226,7 +232,9 @@
       KeptStateKeeper kept,
       ClaimShards claims,
       Explainer explainer,
-      Gateways gateways) {
-    return new PeerRoutes(replica, membership, directory, kept, claims, explainer, gateways);
+      Gateways gateways,
+      LeavingServers leaving) {
+    return new PeerRoutes(
+        replica, membership, directory, kept, claims, explainer, gateways, leaving);
   }
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/controller/ControllerProcess.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/controller/ControllerProcess.java
@@ -20,6 +20,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import org.landingtrack.internal.base.Duty;
 import org.landingtrack.internal.base.HttpServers;
@@ -49,11 +50,12 @@
   private static final Logger log = LoggerFactory.getLogger("controller");
   private static final int HTTP_THREADS = 8;
   private static final long HTTP_IDLE_MS = 30_000;
-  private static final long SEED_EVERY_MS = 2_000;
+  private static final long SEED_EVERY_MS = 1_000;
   private static final int CALL_MS = 1_000;
 
   private final ControllerSettings settings;
   private final ControllerComponent parts;
+  private final VmList vmList;
   private final Duty seeder = Duty.start("seed", 4);
   private final OperatorServer operators;
   private final Javalin http;
@@ -62,6 +64,7 @@
   private ControllerProcess(ControllerSettings settings, ControllerComponent parts) {
     this.settings = settings;
     this.parts = parts;
+    this.vmList = new HttpVmList(settings.vmList());
     parts.routes().addTo(parts.peerServer());
     OperatorService service =
         new OperatorService(
@@ -125,10 +128,17 @@
         () -> parts.objectApi().reachable() ? 1 : 0);
   }
 
-  /** Learns of other controllers: from the VM list, and from the seeds in the settings. */
+  /**
+   * Learns of other controllers and of leaving backend servers. Only the controllers that watch the
+   * platform ask the VM list; the others ask their parent, so that the list's load does not grow
+   * with the fleet.
+   */
   private void seed() {
     List<Member> found = new ArrayList<>();
-    if (!settings.vmList().isEmpty()) {
+    Optional<Member> parent = parts.feed().parent();
+    if (parent.isPresent()) {
+      found.addAll(membersOf(parent.get().address()));
+    } else if (!settings.vmList().isEmpty()) {
       found.addAll(listed());
     }
     if (parts.membership().usable().size() <= 1) {
@@ -142,14 +152,20 @@
 
   private List<Member> listed() {
     List<Member> members = new ArrayList<>();
+    List<String> leaving = new ArrayList<>();
     try {
-      for (VmList.Vm vm : new HttpVmList(settings.vmList()).vms()) {
-        if (vm.role().equals("entry") && !vm.leaving()) {
+      for (VmList.Vm vm : vmList.vms()) {
+        if (!vm.role().equals("entry")) {
+          if (vm.leaving()) {
+            leaving.add(vm.name());
+          }
+        } else if (!vm.leaving()) {
           members.add(
               new Member(
                   vm.name(), vm.dataCentre(), vm.region(), vm.address(), Member.State.ALIVE, 0));
         }
       }
+      parts.leaving().set(leaving);
     } catch (PlatformException e) {
       log.debug("The VM list gives nothing: {}.", e.getMessage());
     }
@@ -161,6 +177,9 @@
     try {
       MembersAnswer answer =
           parts.peerClient().call(address, new MembersQuery(), MembersAnswer.class, CALL_MS);
+      if (parts.feed().parent().isPresent()) {
+        parts.leaving().set(answer.leaving());
+      }
       for (MemberInfo info : answer.members()) {
         members.add(
             new Member(
--- a/landingtrack/src/main/java/org/landingtrack/internal/controller/PeerRoutes.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/controller/PeerRoutes.java
@@ -67,6 +67,7 @@
   private final ClaimShards claims;
   private final Explainer explainer;
   private final Gateways gateways;
+  private final LeavingServers leaving;
 
   PeerRoutes(
       ConfigReplica replica,
@@ -75,7 +76,8 @@
       KeptStateKeeper kept,
       ClaimShards claims,
       Explainer explainer,
-      Gateways gateways) {
+      Gateways gateways,
+      LeavingServers leaving) {
     this.replica = replica;
     this.membership = membership;
     this.directory = directory;
@@ -83,13 +85,14 @@
     this.claims = claims;
     this.explainer = explainer;
     this.gateways = gateways;
+    this.leaving = leaving;
   }
 
   void addTo(PeerServer server) {
     server.on(ConfigPull.class, this::config);
     server.on(RevisionQuery.class, query -> new RevisionAnswer(replica.revision()));
     server.on(InForceQuery.class, this::inForce);
-    server.on(MembersQuery.class, query -> new MembersAnswer(members()));
+    server.on(MembersQuery.class, query -> new MembersAnswer(members(), leaving.servers()));
     server.on(HoldersQuery.class, this::holders);
     server.on(FactsUpdate.class, this::facts);
     server.on(FactsReset.class, this::reset);
--- a/landingtrack/src/main/java/org/landingtrack/internal/dispatch/ModelRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/dispatch/ModelRun.java
@@ -402,6 +402,9 @@
       state.hasWeightVersion(notRun.currentWeightVersion());
       return;
     }
+    if (notRun.leaving()) {
+      state.leaving(now);
+    }
     if (notRun.fault()) {
       state.failed(now);
     }
--- a/landingtrack/src/main/java/org/landingtrack/internal/engine/CompletionOutcome.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/engine/CompletionOutcome.java
@@ -24,10 +24,16 @@
    * Nothing ran, for certain.
    *
    * @param fault true if the server looks broken rather than busy
+   * @param leaving true if the server says that it is leaving
    * @param currentWeightVersion the version that the server has instead; empty if that is not why
    */
-  record NotRun(String why, boolean fault, String currentWeightVersion)
-      implements CompletionOutcome {}
+  record NotRun(String why, boolean fault, boolean leaving, String currentWeightVersion)
+      implements CompletionOutcome {
+    /** Returns an outcome for a server that is merely busy, or broken. */
+    public static NotRun of(String why, boolean fault) {
+      return new NotRun(why, fault, false, "");
+    }
+  }
 
   /** The answer broke off, or it is not known whether the request ran. */
   record Broken(String why) implements CompletionOutcome {}
--- a/landingtrack/src/main/java/org/landingtrack/internal/engine/HttpBackendClient.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/engine/HttpBackendClient.java
@@ -53,6 +53,9 @@
   /** Header by which a backend server says that it refused before running. */
   public static final String NOT_RUN_HEADER = "X-Not-Run";
 
+  /** Header by which a backend server says that it refused because it is leaving. */
+  public static final String LEAVING_HEADER = "X-Leaving";
+
   private final OkHttpClient client;
   private final Ticker ticker;
   private final ScheduledExecutorService deadlines;
@@ -147,7 +150,7 @@
   private CompletionOutcome broken(
       String address, CompletionCall call, SendStage stage, boolean late, IOException e) {
     if (!stage.mayHaveReached()) {
-      return late ? new TooLate(false) : new NotRun("no connection: " + e, true, "");
+      return late ? new TooLate(false) : NotRun.of("no connection: " + e, true);
     }
     if (late) {
       return new TooLate(cancel(address, call.attempt()) != Cancelled.NEVER_RAN);
@@ -160,14 +163,18 @@
     String text = response.body().string();
     if (status == CONFLICT) {
       JsonNode body = Json.LENIENT.readTree(text);
-      return new NotRun("has another weight version", false, body.path("weight_version").asText());
+      return new NotRun(
+          "has another weight version", false, false, body.path("weight_version").asText());
+    }
+    if (response.header(LEAVING_HEADER) != null) {
+      return new NotRun("is leaving", false, true, "");
     }
     boolean saysNotRun = response.header(NOT_RUN_HEADER) != null;
     if (status == TOO_MANY || (status == UNAVAILABLE && saysNotRun)) {
-      return new NotRun("refused with " + status, false, "");
+      return NotRun.of("refused with " + status, false);
     }
     if (saysNotRun) {
-      return new NotRun("refused with " + status, true, "");
+      return NotRun.of("refused with " + status, true);
     }
     return new CompletionOutcome.Failed("answered " + status);
   }
--- a/landingtrack/src/main/java/org/landingtrack/internal/gateway/ControllerLink.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/gateway/ControllerLink.java
@@ -18,6 +18,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.landingtrack.internal.base.Duty;
 import org.landingtrack.internal.base.Hashes;
@@ -60,6 +61,7 @@
   private final Thread follower;
   private final Duty members;
   private volatile List<MemberInfo> controllers = List.of();
+  private volatile Set<String> leaving = Set.of();
   private volatile String current = "";
   private volatile boolean closed;
 
@@ -83,6 +85,7 @@
   /** Starts following. */
   public void start() {
     follower.start();
+    var unused = members.offer(this::refresh);
     members.every(MEMBERS_EVERY_MS, this::refresh);
   }
 
@@ -145,6 +148,7 @@
         MembersAnswer answer =
             peers.call(address, new MembersQuery(), MembersAnswer.class, CALL_MS);
         controllers = List.copyOf(answer.members());
+        leaving = Set.copyOf(answer.leaving());
         handOn(address);
         return;
       } catch (PeerException e) {
@@ -172,6 +176,16 @@
     return own;
   }
 
+  /** Returns true once configuration and controllers are known; claims need the latter. */
+  public boolean isReady() {
+    return replica.isComplete() && !controllers.isEmpty();
+  }
+
+  /** Returns the backend servers that are leaving. */
+  public Set<String> leaving() {
+    return leaving;
+  }
+
   /** Returns the controllers that own a key, the owner first. */
   public List<MemberInfo> ownersOf(String key) {
     return Hashes.rendezvous(key, controllers(), MemberInfo::vm);
--- a/landingtrack/src/main/java/org/landingtrack/internal/gateway/GatewayModule.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/gateway/GatewayModule.java
@@ -192,7 +192,7 @@
   @Singleton
   CallerApi callerApi(
       Supplier<Catalog> catalog,
-      ConfigReplica replica,
+      ControllerLink link,
       TeamLimiter limiter,
       ModelDispatcher models,
       PlainDispatcher plains,
@@ -202,7 +202,7 @@
       Metrics metrics) {
     return new CallerApi(
         catalog,
-        replica::isComplete,
+        link::isReady,
         limiter,
         models,
         plains,
--- a/landingtrack/src/main/java/org/landingtrack/internal/gateway/GatewayProcess.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/gateway/GatewayProcess.java
@@ -54,7 +54,7 @@
             settings.maxRequests(),
             settings.bodyTimeoutMs(),
             parts.metrics(),
-            () -> parts.replica().isComplete() && !parts.inFlight().isClosed(),
+            () -> parts.link().isReady() && !parts.inFlight().isClosed(),
             parts.callerApi()::addRoutes);
   }
 
@@ -74,6 +74,7 @@
     int gateways = Math.max(1, parts.link().controllers().size());
     parts.limiter().sharedBy(gateways);
     parts.gates().sharedBy(gateways);
+    parts.servers().leaving(parts.link().leaving());
     parts.servers().retain(parts.replica().catalog());
   }
 
--- a/landingtrack/src/main/java/org/landingtrack/internal/peer/Messages.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/peer/Messages.java
@@ -64,8 +64,12 @@
       String state,
       long incarnation) {}
 
-  /** The controllers that the answering one knows. */
-  public record MembersAnswer(List<MemberInfo> members) {}
+  /**
+   * The controllers that the answering one knows.
+   *
+   * @param leaving backend servers that the VM list says are leaving
+   */
+  public record MembersAnswer(List<MemberInfo> members, List<String> leaving) {}
 
   /**
    * Asks who holds the longest part of a prompt.
--- a/landingtrack/src/main/java/org/landingtrack/internal/routing/ServerState.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/routing/ServerState.java
@@ -25,6 +25,7 @@
   private static final int FAILURES_TO_EJECT = 3;
   private static final long FIRST_EJECTION_MS = 1_000;
   private static final long MAX_EJECTION_MS = 30_000;
+  private static final long LEAVING_MS = 60_000;
   private static final long WARM_UP_MS = 10_000;
   private static final double WARM_UP_SHARE = 0.25;
   private static final double SMOOTHING = 0.2;
@@ -108,6 +109,11 @@
     ejections = 0;
   }
 
+  /** Notes that the server says it is leaving; it gets no new work for a while. */
+  public synchronized void leaving(long nowMs) {
+    ejectedUntilMs = Math.max(ejectedUntilMs, nowMs + LEAVING_MS);
+  }
+
   /** Notes a failure; several in a row eject the server for a while, longer each time. */
   public synchronized void failed(long nowMs) {
     failures++;
--- a/landingtrack/src/main/java/org/landingtrack/internal/routing/ServerTable.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/routing/ServerTable.java
@@ -28,6 +28,12 @@
 /** The states of all backend servers, kept in step with the catalog. Thread-safe. */
 public final class ServerTable {
   private final Map<String, ServerState> states = new ConcurrentHashMap<>();
+  private volatile Set<String> leaving = Set.of();
+
+  /** Sets the servers that are leaving and get no new work. */
+  public void leaving(Set<String> names) {
+    leaving = Set.copyOf(names);
+  }
 
   /** Returns the state of a server, creating it if it is new or was configured anew. */
   public ServerState state(NamedBackendServer server) {
@@ -51,7 +57,8 @@
   public List<ServerState> available(Catalog catalog, String service, Set<String> excluded) {
     List<ServerState> available = new ArrayList<>();
     for (NamedBackendServer server : catalog.servers(service)) {
-      if (server.spec().draining() || excluded.contains(server.name())) {
+      boolean goes = server.spec().draining() || leaving.contains(server.name());
+      if (goes || excluded.contains(server.name())) {
         continue;
       }
       available.add(state(server));
--- a/landingtrack/src/test/java/org/landingtrack/internal/dispatch/ModelRunTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/dispatch/ModelRunTest.java
@@ -51,9 +51,9 @@
   private static final int TOKENS = 5;
   private static final Service SERVICE =
       new Service("model", "v1", 1, 0, 0, 1_000_000, 10, 100, null);
-  private static final CompletionOutcome NOT_RUN = new CompletionOutcome.NotRun("busy", false, "");
+  private static final CompletionOutcome NOT_RUN = CompletionOutcome.NotRun.of("busy", false);
   private static final CompletionOutcome NO_CONNECTION =
-      new CompletionOutcome.NotRun("no connection", true, "");
+      CompletionOutcome.NotRun.of("no connection", true);
   private static final CompletionOutcome BROKEN = new CompletionOutcome.Broken("cut");
   private static final CompletionOutcome FAILED = new CompletionOutcome.Failed("fault");
   private static final CompletionOutcome LATE_QUEUED = new CompletionOutcome.TooLate(false);
@@ -264,7 +264,7 @@
 
   @Test
   public void anotherWeightVersionIsTriedOnlyBeforeTheFirstToken() throws Exception {
-    CompletionOutcome otherVersion = new CompletionOutcome.NotRun("version", false, "v0");
+    CompletionOutcome otherVersion = new CompletionOutcome.NotRun("version", false, false, "v0");
     List<Step> steps = new ArrayList<>();
     for (int i = 0; i < 4; i++) {
       steps.add(end(otherVersion));
@@ -278,7 +278,7 @@
 
   @Test
   public void aBrokenAnswerGoesOnUnderItsOwnWeightVersionOnly() {
-    CompletionOutcome otherVersion = new CompletionOutcome.NotRun("version", false, "v0");
+    CompletionOutcome otherVersion = new CompletionOutcome.NotRun("version", false, false, "v0");
     ScriptedClient client =
         new ScriptedClient(
             List.of(cutAt(2), cutAt(0), end(otherVersion), end(otherVersion), end(otherVersion)));
--- a/standins/src/main/java/org/landingtrack/standins/EngineServer.java
+++ b/standins/src/main/java/org/landingtrack/standins/EngineServer.java
@@ -44,10 +44,10 @@
  * A model engine: continuous batching with prefill and decode times, a bounded prefix cache,
  * events, load reports, resume, cancel, export and import of kept state, and fenced orders.
  *
- * <p>Faults: {@code refuse}, {@code slowMs}, {@code cutAfter} (cuts the connection after so many
- * tokens; the run goes on), {@code cutOnce} (so many requests are cut), {@code failRun}, {@code
- * wrongAttempt}, {@code missToken}, {@code noEndMark}, {@code eventLagMs}, {@code dropEvents},
- * {@code failExportAfter}, {@code loadLag} (reports no load).
+ * <p>Faults: {@code refuse}, {@code leaving}, {@code slowMs}, {@code cutAfter} (cuts the connection
+ * after so many tokens; the run goes on), {@code cutOnce} (so many requests are cut), {@code
+ * failRun}, {@code wrongAttempt}, {@code missToken}, {@code noEndMark}, {@code eventLagMs}, {@code
+ * dropEvents}, {@code failExportAfter}, {@code loadLag} (reports no load).
  */
 public final class EngineServer implements AutoCloseable {
   private static final int BYTES_PER_TOKEN = 4;
@@ -142,6 +142,10 @@
     JsonNode body = Json.LENIENT.readTree(ctx.body());
     JsonNode extra = body.path("landingtrack");
     String wanted = extra.path("weight_version").asText();
+    if (faults.on("leaving")) {
+      ctx.status(503).header("X-Not-Run", "true").header("X-Leaving", "true").result("leaving");
+      return;
+    }
     if (faults.on("refuse") || loading || queued.get() >= options.maxQueued()) {
       ctx.status(503).header("X-Not-Run", "true").result("busy");
       return;
