--- a/bench/src/main/java/org/landingtrack/bench/Bench.java
+++ b/bench/src/main/java/org/landingtrack/bench/Bench.java
@@ -22,6 +22,10 @@
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
 import org.landingtrack.internal.base.Logs;
+import org.openjdk.jmh.profile.GCProfiler;
+import org.openjdk.jmh.runner.Runner;
+import org.openjdk.jmh.runner.RunnerException;
+import org.openjdk.jmh.runner.options.OptionsBuilder;
 
 /** Entry point of the load tool and the measurements. */
 public final class Bench {
@@ -30,6 +34,15 @@
       usage: landingtrack-bench COMMAND [OPTIONS]
       commands:
         send    send the prompts of a file: --file, --gateways URL,…, --service, --key
+        policy  measure routing: --profile kigali|sasaki, --seed N, --seconds S,
+                --policy all|landingtrack|round-robin|least-loaded|prefix-hash,
+                --fault none|engine-death|store-death|slow-link|load-lag|platform-out
+        overload  goodput at 1×, 2× and 4×: --profile, --seed, --seconds, --rate at 1×
+        capacity  slopes of state, messages and processor time for docs/CAPACITY.md
+        claims  latency and rate of claims against the platform's limits: --seconds
+        jmh     time and allocation of a routing decision
+        control  processor, heap and platform calls of a controller: --objects N, --seconds
+        faults  kill drill under load: --seed N, --seconds S, --disturbances N
       """;
   private static final int USAGE_EXIT = 2;
 
@@ -50,19 +63,65 @@
           new DefaultParser().parse(options(), java.util.Arrays.copyOfRange(args, 1, args.length));
       return switch (args[0]) {
         case "send" -> SendCommand.run(line);
+        case "policy" -> PolicyCommand.run(line);
+        case "overload" -> OverloadCommand.run(line);
+        case "faults" -> faults(line);
+        case "capacity" -> CapacityCommand.run();
+        case "claims" -> ClaimsCommand.run(line);
+        case "control" -> ControlCommand.run(line);
+        case "jmh" -> jmh();
         default -> throw new ParseException("unknown command '" + args[0] + "'");
       };
-    } catch (ParseException e) {
+    } catch (ParseException | IllegalArgumentException e) {
       System.err.println("bench: " + e.getMessage() + "\n" + USAGE);
       return USAGE_EXIT;
     }
   }
 
+  private static int faults(CommandLine line) throws InterruptedException {
+    long seed = Long.parseLong(line.getOptionValue("seed", "1"));
+    double seconds = Double.parseDouble(line.getOptionValue("seconds", "60"));
+    int disturbances = Integer.parseInt(line.getOptionValue("disturbances", "30"));
+    KillDrill.Counts counts = KillDrill.run(seed, disturbances, seconds);
+    System.out.println(counts.json());
+    boolean kept = counts.lost() + counts.doubled() + counts.crossed() == 0;
+    return kept && counts.falseNotRun() == 0 ? 0 : 1;
+  }
+
+  private static int jmh() throws IOException {
+    try {
+      new Runner(
+              new OptionsBuilder()
+                  .include(RoutingBenchmark.class.getSimpleName())
+                  .addProfiler(GCProfiler.class)
+                  .build())
+          .run();
+      return 0;
+    } catch (RunnerException e) {
+      throw new IOException(e);
+    }
+  }
+
   private static Options options() {
     Options options = new Options();
-    for (String name : new String[] {"file", "gateways", "service", "key"}) {
+    for (String name :
+        new String[] {
+          "file",
+          "gateways",
+          "service",
+          "key",
+          "profile",
+          "policy",
+          "seed",
+          "seconds",
+          "fault",
+          "rate",
+          "disturbances",
+          "objects"
+        }) {
       options.addOption(Option.builder().longOpt(name).hasArg().get());
     }
-    return options;
+    // Every measurement prints JSON; the option is taken so that scripts may say so.
+    return options.addOption(Option.builder().longOpt("json").get());
   }
 }
--- a/bench/src/main/java/org/landingtrack/bench/Deployment.java
+++ b/bench/src/main/java/org/landingtrack/bench/Deployment.java
@@ -25,9 +25,12 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.IntFunction;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
 import okhttp3.Response;
@@ -103,21 +106,31 @@
     for (int i = 0; i < plan.plains(); i++) {
       plains.add(new PlainServer("portal-" + i, 0));
     }
+    peerPorts.addAll(Collections.nCopies(plan.controllers(), 0));
+    controllers.addAll(startTogether(plan.controllers(), this::startController));
     for (int i = 0; i < plan.controllers(); i++) {
-      peerPorts.add(0);
-      controllers.add(startController(i));
       peerPorts.set(i, controllers.get(i).port("peer"));
-      listVms(List.of());
     }
+    listVms(List.of());
+    callerPorts.addAll(Collections.nCopies(plan.gateways(), 0));
+    gateways.addAll(startTogether(plan.gateways(), this::startGateway));
     for (int i = 0; i < plan.gateways(); i++) {
-      callerPorts.add(0);
-      gateways.add(startGateway(i));
       callerPorts.set(i, gateways.get(i).port("callers"));
     }
     applyAll();
     awaitAllReady();
   }
 
+  /** Starts processes at the same time; they find each other through the VM list. */
+  private static List<ChildProcess> startTogether(int count, IntFunction<ChildProcess> start) {
+    List<CompletableFuture<ChildProcess>> futures = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      int index = i;
+      futures.add(CompletableFuture.supplyAsync(() -> start.apply(index)));
+    }
+    return futures.stream().map(CompletableFuture::join).toList();
+  }
+
   private ChildProcess startController(int index) {
     ObjectNode settings = common("controller", index);
     ObjectNode ports = settings.putObject("ports");
@@ -234,6 +247,7 @@
     for (int i = 0; i < gateways.size(); i++) {
       awaitReady(i);
     }
+    await("the controllers know each other", this::allMembersKnown);
     await(
         "the configuration is in force everywhere",
         () -> {
@@ -245,6 +259,16 @@
         });
   }
 
+  private boolean allMembersKnown() {
+    for (ChildProcess controller : controllers) {
+      String url = "http://127.0.0.1:" + controller.port("http");
+      if (controller.isAlive() && metric(url, "members") < controllers.size()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   private boolean gatewaysHave(long revision) {
     for (int i = 0; i < gateways.size(); i++) {
       if (gateways.get(i).isAlive() && metric(gatewayUrl(i), "config_revision") < revision) {
--- /dev/null
+++ b/bench/src/test/java/org/landingtrack/bench/CallerApiProcessTest.java
@@ -0,0 +1,302 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.bench;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.landingtrack.bench.CallerClient.Answer;
+import org.landingtrack.bench.CallerClient.Ask;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** What callers get for good and for bad requests, over real processes. */
+public final class CallerApiProcessTest {
+  private static final MediaType JSON_TYPE = MediaType.get("application/json");
+  private static final String GOOD =
+      "{\"model\":\"llm\",\"max_tokens\":3,\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]}";
+
+  private Deployment deployment;
+  private final OkHttpClient http = new OkHttpClient();
+
+  @BeforeClass
+  public void start() {
+    deployment = Deployment.start(new DeploymentPlan.Builder().setPlains(1).build());
+  }
+
+  @AfterClass(alwaysRun = true)
+  public void stop() {
+    if (deployment != null) {
+      deployment.close();
+    }
+  }
+
+  private record Reply(int status, JsonNode body, String requestId) {}
+
+  private Reply post(String key, String body, String header, String value) throws Exception {
+    Request.Builder request =
+        new Request.Builder()
+            .url(deployment.gatewayUrl(0) + "/v1/chat/completions")
+            .post(RequestBody.create(body, JSON_TYPE));
+    if (!key.isEmpty()) {
+      request.header("Authorization", key);
+    }
+    if (!header.isEmpty()) {
+      request.header(header, value);
+    }
+    try (Response response = http.newCall(request.build()).execute()) {
+      String id = response.header("Landingtrack-Request-Id", "");
+      return new Reply(response.code(), Deployment.json(response.body().string()), id);
+    }
+  }
+
+  @DataProvider
+  public Object[][] bad() {
+    String key = "Bearer " + DeploymentPlan.teamKey("quotes");
+    String messages = ",\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]";
+    return new Object[][] {
+      // authorization, body, header, value, status, kind, message
+      {
+        "", GOOD, "", "", 401, "UNAUTHENTICATED", "header Authorization must be 'Bearer <team key>'"
+      },
+      {
+        "Basic x",
+        GOOD,
+        "",
+        "",
+        401,
+        "UNAUTHENTICATED",
+        "header Authorization must be 'Bearer <team key>'"
+      },
+      {"Bearer guess", GOOD, "", "", 401, "UNAUTHENTICATED", "the key is not known"},
+      {key, "{", "", "", 400, "BAD_REQUEST", "the body is not JSON (line 1)"},
+      {key, "", "", "", 400, "BAD_REQUEST", "the body must be a JSON object"},
+      {key, "[]", "", "", 400, "BAD_REQUEST", "the body must be a JSON object"},
+      {key, "{}", "", "", 400, "BAD_REQUEST", "'model' must name a service"},
+      {
+        key,
+        "{\"model\":\"llm\"}",
+        "",
+        "",
+        400,
+        "BAD_REQUEST",
+        "'messages' must be a list of 1 to 10000 messages"
+      },
+      {
+        key,
+        "{\"model\":\"llm\",\"messages\":[{}]}",
+        "",
+        "",
+        400,
+        "BAD_REQUEST",
+        "each message needs a text 'role' and a text 'content'"
+      },
+      {
+        key,
+        "{\"model\":\"llm\",\"max_tokens\":0" + messages + "}",
+        "",
+        "",
+        400,
+        "BAD_REQUEST",
+        "'max_tokens' must be a whole number from 1 to 1000000"
+      },
+      {
+        key,
+        "{\"model\":\"llm\",\"stream\":1" + messages + "}",
+        "",
+        "",
+        400,
+        "BAD_REQUEST",
+        "'stream' must be true or false"
+      },
+      {
+        key,
+        "{\"model\":\"none\"" + messages + "}",
+        "",
+        "",
+        404,
+        "NOT_FOUND",
+        "service 'none' does not exist"
+      },
+      {
+        key,
+        "{\"model\":\"portal\"" + messages + "}",
+        "",
+        "",
+        404,
+        "NOT_FOUND",
+        "service 'portal' does not exist"
+      },
+      {
+        key,
+        "{\"model\":\"kept\"" + messages + "}",
+        "",
+        "",
+        404,
+        "NOT_FOUND",
+        "service 'kept' does not exist"
+      },
+      {
+        key,
+        GOOD,
+        "Landingtrack-Deadline-Ms",
+        "soon",
+        400,
+        "BAD_REQUEST",
+        "header Landingtrack-Deadline-Ms must be a whole number from 1 to 3600000"
+      },
+      {
+        key,
+        GOOD,
+        "Landingtrack-Priority",
+        "10",
+        400,
+        "BAD_REQUEST",
+        "header Landingtrack-Priority must be a whole number from 0 to 9"
+      },
+      {
+        key,
+        GOOD,
+        "Landingtrack-No-Repeat",
+        "yes",
+        400,
+        "BAD_REQUEST",
+        "header Landingtrack-No-Repeat must be true or false"
+      },
+      {
+        key,
+        "{\"x\":\"" + "y".repeat(4_000_001) + "\"}",
+        "",
+        "",
+        413,
+        "TOO_LARGE",
+        "the body is longer than 4000000 bytes"
+      },
+    };
+  }
+
+  @Test(dataProvider = "bad")
+  public void aBadRequestGetsItsExactAnswer(
+      String authorization,
+      String body,
+      String header,
+      String value,
+      int status,
+      String kind,
+      String message)
+      throws Exception {
+    Reply reply = post(authorization, body, header, value);
+    JsonNode error = reply.body().path("error");
+    assertEquals(error.path("message").asText(), message);
+    assertEquals(reply.status(), status);
+    assertEquals(error.path("kind").asText(), kind);
+    assertEquals(error.path("ran").asText(), "not-run");
+    assertTrue(reply.requestId().startsWith("entry-0."), reply.requestId());
+  }
+
+  @Test
+  public void aWholeAnswerComesInOnePiece() throws Exception {
+    Reply reply = post("Bearer " + DeploymentPlan.teamKey("quotes"), GOOD, "", "");
+    assertEquals(reply.status(), 200);
+    String text = reply.body().path("choices").path(0).path("message").path("content").asText();
+    assertTrue(text.startsWith("[hi]"), text);
+    assertEquals(reply.body().path("usage").path("completion_tokens").asInt(), 3);
+  }
+
+  @Test
+  public void manyCallersAtOnceGetTheirOwnAnswers() throws Exception {
+    CallerClient client = Calls.client();
+    List<Answer> answers =
+        Calls.together(
+            40, i -> client.ask(deployment.gatewayUrl(i % 2), Calls.ask("crossed " + i, 10)));
+    for (int i = 0; i < answers.size(); i++) {
+      Calls.assertOwnAndWhole(Calls.ask("crossed " + i, 10), answers.get(i), "v1");
+    }
+  }
+
+  /** The same prompt of two teams shares nothing: the second computes all of it. */
+  @Test
+  public void teamsShareNoKeptState() {
+    CallerClient client = Calls.client();
+    String system = "shared text ".repeat(2_000);
+    Ask own = Calls.ask("quotes", system, "first", 2);
+    Ask again = Calls.ask("quotes", system, "second", 2);
+    Ask other = Calls.ask("parcels", system, "third", 2);
+    assertEquals(client.ask(deployment.gatewayUrl(0), own).cachedTokens(), 0);
+    assertTrue(client.ask(deployment.gatewayUrl(0), again).cachedTokens() > 0);
+    assertEquals(client.ask(deployment.gatewayUrl(0), other).cachedTokens(), 0);
+  }
+
+  @Test
+  public void aPlainServiceIsReached() {
+    PlainCaller caller = new PlainCaller(deployment.gatewayUrl(1), "quotes");
+    PlainCaller.Reply reply = caller.get(Deployment.PORTAL, "app/list");
+    assertEquals(reply.status(), 200);
+    assertEquals(reply.body(), "{\"server\":\"portal-0\",\"path\":\"/app/list\"}");
+    assertEquals(caller.get("none", "app/list").kind(), "NOT_FOUND");
+  }
+
+  /** A body that never ends is given up, and other callers do not notice. */
+  @Test
+  public void aSlowBodyIsGivenUp() throws Exception {
+    int port = URI.create(deployment.gatewayUrl(0)).getPort();
+    try (Socket socket = new Socket(InetAddress.getByName("127.0.0.1"), port)) {
+      OutputStream out = socket.getOutputStream();
+      String head =
+          "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n"
+              + "Authorization: Bearer "
+              + DeploymentPlan.teamKey("quotes")
+              + "\r\n\r\n{";
+      out.write(head.getBytes(StandardCharsets.US_ASCII));
+      out.flush();
+      Answer other = Calls.client().ask(deployment.gatewayUrl(0), Calls.ask("meanwhile", 2));
+      assertTrue(other.whole(), other.toString());
+      String status = new String(socket.getInputStream().readNBytes(12), StandardCharsets.US_ASCII);
+      assertEquals(status, "HTTP/1.1 408");
+    }
+  }
+
+  @Test
+  public void aRequestIsExplainedFromAnyController() {
+    Answer answer = Calls.client().ask(deployment.gatewayUrl(0), Calls.ask("explain this one", 2));
+    for (int controller = 0; controller < 2; controller++) {
+      int index = controller;
+      Deployment.await(
+          "controller " + controller + " explains it",
+          () -> deployment.ctl(index, "explain", answer.requestId()).code() == 0);
+      String text = deployment.ctl(index, "explain", answer.requestId()).text();
+      assertTrue(text.contains("Team quotes asked service llm."), text);
+      assertTrue(text.contains("Chosen under weight version v1: engine-"), text);
+    }
+    Deployment.CtlResult unknown = deployment.ctl(0, "explain", "entry-9.00");
+    assertEquals(unknown.code(), 1);
+    assertEquals(unknown.text().trim(), "Nothing is known about entry-9.00 (any more).");
+  }
+}
--- /dev/null
+++ b/bench/src/test/java/org/landingtrack/bench/KeptStateProcessTest.java
@@ -0,0 +1,162 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.bench;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.landingtrack.bench.CallerClient.Answer;
+import org.landingtrack.bench.CallerClient.Ask;
+import org.landingtrack.standins.EngineOptions;
+import org.landingtrack.standins.EngineServer;
+import org.landingtrack.standins.StoreServer;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Kept state across long gaps, while store VMs fail in every way. */
+public final class KeptStateProcessTest {
+  private static final String HANDBOOK = "rule of the shared handbook ".repeat(1_500);
+
+  private static Deployment start(int stores) {
+    EngineOptions options = new EngineOptions(32, 0.02, 1, 4, 16, true, 1_000, 200, "v1");
+    return Deployment.start(
+        new DeploymentPlan.Builder().setEngines(2).setStores(stores).setEngine(options).build());
+  }
+
+  private static int manifests(Deployment deployment) {
+    int count = 0;
+    for (StoreServer store : deployment.stores()) {
+      count += store.manifestCount();
+    }
+    return count;
+  }
+
+  private static Answer ask(Deployment deployment, String question) {
+    Ask ask = Calls.ask(Calls.TEAM, HANDBOOK, question, 4);
+    Answer answer = Calls.client().ask(deployment.gatewayUrl(0), ask);
+    Calls.assertOwnAndWhole(ask, answer, "v1");
+    return answer;
+  }
+
+  /** Other prompts push the handbook out of both engines' memory. */
+  private static void forget(Deployment deployment, int round) {
+    for (int i = 0; i < 8; i++) {
+      String other = ("other text " + round + " " + i + " ").repeat(3_000);
+      Ask ask = Calls.ask(Calls.TEAM, other, "push out", 1);
+      Answer answer = Calls.client().ask(deployment.gatewayUrl(i % 2), ask);
+      assertTrue(answer.whole(), answer.toString());
+    }
+  }
+
+  @Test
+  public void aPromptThatReturnsAfterAGapIsRestored() {
+    try (Deployment deployment = start(2)) {
+      ask(deployment, "first");
+      ask(deployment, "second");
+      Deployment.await("it was exported", () -> manifests(deployment) > 0);
+      Deployment.await(
+          "it comes back from a store VM",
+          () -> {
+            forget(deployment, manifests(deployment));
+            Answer answer = ask(deployment, "third");
+            String why = explain(deployment, answer);
+            return why.contains("Restored") && answer.cachedTokens() > 0;
+          });
+    }
+  }
+
+  private static String explain(Deployment deployment, Answer answer) {
+    Deployment.await(
+        "it is explained", () -> deployment.ctl(0, "explain", answer.requestId()).code() == 0);
+    return deployment.ctl(0, "explain", answer.requestId()).text();
+  }
+
+  @DataProvider
+  public Object[][] faults() {
+    return new Object[][] {
+      {List.of("partialWrite"), 100},
+      {List.of("freeWhileRead"), 100},
+      {List.of("full"), 1},
+      {List.of("slowLink"), 1_000},
+      {List.of("dropEvents"), 50},
+      {List.of("partialWrite", "freeWhileRead"), 100},
+      {List.of("full", "dropEvents"), 10},
+    };
+  }
+
+  /** Whatever a store VM does, no answer is made from a broken block: each is right and whole. */
+  @Test(dataProvider = "faults")
+  public void aFailingStoreCostsTimeButNeverAnAnswer(List<String> faults, double value) {
+    try (Deployment deployment = start(1)) {
+      StoreServer store = deployment.stores().get(0);
+      faults.forEach(fault -> store.faults().set(fault, value));
+      for (int round = 0; round < 3; round++) {
+        ask(deployment, "question " + round);
+        ask(deployment, "another " + round);
+        forget(deployment, round);
+      }
+      for (EngineServer engine : deployment.engines()) {
+        assertEquals(engine.brokenBlocksUsed(), 0);
+      }
+    }
+  }
+
+  /** Checks the check: with the reader's checks switched off the same fault is seen to do harm. */
+  @Test
+  public void withoutTheReadersChecksABrokenBlockIsUsed() {
+    try (Deployment deployment = start(1)) {
+      deployment.stores().get(0).faults().set("partialWrite", 100);
+      deployment.engines().forEach(engine -> engine.faults().set("skipChecks", 1));
+      ask(deployment, "first");
+      ask(deployment, "second");
+      Deployment.await("it was exported", () -> manifests(deployment) > 0);
+      Deployment.await(
+          "a broken block is used",
+          () -> {
+            forget(deployment, manifests(deployment));
+            ask(deployment, "third");
+            return deployment.engines().stream().anyMatch(e -> e.brokenBlocksUsed() > 0);
+          });
+    }
+  }
+
+  @Test
+  public void anEngineThatDiesHalfWayThroughAnExportLeavesNothingReadable() {
+    try (Deployment deployment = start(1)) {
+      deployment.engines().forEach(engine -> engine.faults().set("failExportAfter", 2));
+      ask(deployment, "first");
+      ask(deployment, "second");
+      forget(deployment, 1);
+      ask(deployment, "third");
+      assertEquals(manifests(deployment), 0);
+    }
+  }
+
+  @Test
+  public void aStoreThatDiesIsForgotten() {
+    try (Deployment deployment = start(1)) {
+      ask(deployment, "first");
+      ask(deployment, "second");
+      Deployment.await("it was exported", () -> manifests(deployment) > 0);
+      deployment.stores().get(0).close();
+      forget(deployment, 1);
+      ask(deployment, "third");
+      forget(deployment, 2);
+      ask(deployment, "fourth");
+    }
+  }
+}
--- /dev/null
+++ b/bench/src/test/java/org/landingtrack/bench/WeightSwapProcessTest.java
@@ -0,0 +1,144 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.bench;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.landingtrack.bench.CallerClient.Answer;
+import org.landingtrack.bench.CallerClient.Ask;
+import org.landingtrack.standins.EngineOptions;
+import org.landingtrack.standins.EngineServer;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * A swap of weights under load: no block crosses versions, no request is cut, loads are rationed.
+ */
+public final class WeightSwapProcessTest {
+  private enum Fault {
+    NONE,
+    HOLDER_FROZEN,
+    HOLDER_KILLED
+  }
+
+  @DataProvider
+  public Object[][] cases() {
+    return new Object[][] {
+      {true, Fault.NONE},
+      {false, Fault.NONE},
+      {true, Fault.HOLDER_FROZEN},
+      {false, Fault.HOLDER_KILLED},
+    };
+  }
+
+  @Test(dataProvider = "cases")
+  public void aSwapUnderLoadCutsNothingAndMixesNothing(boolean fences, Fault fault)
+      throws Exception {
+    EngineOptions options = EngineOptions.small("v1").withDecodeMs(10);
+    DeploymentPlan plan =
+        new DeploymentPlan.Builder()
+            .setControllers(3)
+            .setEngines(8)
+            .setEngine(fences ? options : options.withoutFences())
+            .build();
+    try (Deployment deployment = Deployment.start(plan)) {
+      AtomicBoolean stop = new AtomicBoolean();
+      ExecutorService threads = Executors.newCachedThreadPool();
+      List<Future<Integer>> callers = new ArrayList<>();
+      for (int i = 0; i < 6; i++) {
+        int caller = i;
+        callers.add(threads.submit(() -> callUntil(deployment, caller, stop)));
+      }
+      Deployment.await("a controller holds the lease", () -> holder(deployment) >= 0);
+      int holder = holder(deployment);
+      assertEquals(deployment.ctl((holder + 1) % 3, "load", "llm", "v2").code(), 0);
+      Deployment.await("the swap began", () -> withVersion(deployment, "v2") > 0);
+      disturb(deployment, fault, holder);
+      Deployment.await("all have v2", () -> withVersion(deployment, "v2") == 8);
+      stop.set(true);
+      int answered = 0;
+      for (Future<Integer> caller : callers) {
+        answered += caller.get(60, TimeUnit.SECONDS);
+      }
+      assertTrue(answered > 0);
+      for (EngineServer engine : deployment.engines()) {
+        assertEquals(engine.versionViolations(), 0);
+        assertEquals(engine.staleOrders(), 0);
+      }
+      assertTrue(deployment.weightStore().most() <= 3, "loads at once");
+      threads.shutdownNow();
+    }
+  }
+
+  private static void disturb(Deployment deployment, Fault fault, int holder)
+      throws InterruptedException {
+    switch (fault) {
+      case NONE -> {}
+      case HOLDER_KILLED -> deployment.controller(holder).kill();
+      case HOLDER_FROZEN -> {
+        deployment.controller(holder).freeze();
+        Deployment.await("all have v2", () -> withVersion(deployment, "v2") == 8);
+        deployment.controller(holder).resume();
+      }
+    }
+  }
+
+  /** Returns the controller that holds the lease for weights; -1 if nobody does. */
+  private static int holder(Deployment deployment) {
+    return deployment
+        .objectApi()
+        .store()
+        .read("leases/weights-dc-1")
+        .map(object -> Deployment.json(object.value()).path("holder").asText("entry--1"))
+        .filter(name -> name.startsWith("entry-"))
+        .map(name -> Integer.parseInt(name.substring("entry-".length())))
+        .orElse(-1);
+  }
+
+  private static int withVersion(Deployment deployment, String version) {
+    int count = 0;
+    for (EngineServer engine : deployment.engines()) {
+      count += engine.weightVersion().equals(version) ? 1 : 0;
+    }
+    return count;
+  }
+
+  /** Calls one after another; every answer must be whole and of one version from end to end. */
+  private static int callUntil(Deployment deployment, int caller, AtomicBoolean stop) {
+    CallerClient client = Calls.client();
+    String system = "handbook of caller " + caller + " ".repeat(8_000);
+    int answered = 0;
+    while (!stop.get()) {
+      Ask ask = Calls.ask(Calls.TEAM, system, "swap " + caller + " " + answered, 20);
+      Answer answer = client.ask(deployment.gatewayUrl(caller % 2), ask);
+      assertTrue(answer.whole(), answer.toString());
+      boolean one =
+          answer.text().equals(Calls.expected(ask, "v1"))
+              || answer.text().equals(Calls.expected(ask, "v2"));
+      assertTrue(one, "versions are mixed: " + answer.text());
+      answered++;
+    }
+    return answered;
+  }
+}
--- a/landingtrack/src/main/java/org/landingtrack/internal/base/HttpServers.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/base/HttpServers.java
@@ -27,6 +27,9 @@
   private static final int UNAVAILABLE = 503;
   private static final int SPARE_THREADS = 16;
 
+  /** Requests have ended before a server is stopped; this is for idle connections. */
+  private static final long STOP_MS = 200;
+
   private HttpServers() {}
 
   /**
@@ -51,6 +54,7 @@
               pool.setName("http");
               pool.setDaemon(true);
               config.jetty.threadPool = pool;
+              config.jetty.modifyServer(server -> server.setStopTimeout(STOP_MS));
               config.jetty.modifyHttpConfiguration(http -> http.setIdleTimeout(idleTimeoutMs));
               config.routes.get("/health", ctx -> ctx.result("live\n"));
               config.routes.get(
--- a/landingtrack/src/main/java/org/landingtrack/internal/base/Logs.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/base/Logs.java
@@ -46,10 +46,11 @@
     appender.setEncoder(encoder(format, context));
     appender.start();
     ch.qos.logback.classic.Logger root = context.getLogger(Logger.ROOT_LOGGER_NAME);
-    root.setLevel(Level.toLevel(level, Level.INFO));
+    Level own = Level.toLevel(level, Level.INFO);
+    root.setLevel(own);
     root.addAppender(appender);
     for (String noisy : new String[] {"org.eclipse.jetty", "io.javalin", "io.grpc"}) {
-      context.getLogger(noisy).setLevel(Level.WARN);
+      context.getLogger(noisy).setLevel(own.isGreaterOrEqual(Level.WARN) ? own : Level.WARN);
     }
   }
 
--- a/standins/src/main/java/org/landingtrack/standins/BlockCache.java
+++ b/standins/src/main/java/org/landingtrack/standins/BlockCache.java
@@ -22,18 +22,20 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * An engine's prefix cache: bounded, least recently used first, the deepest blocks before others.
  */
 final class BlockCache {
   /** One cached block with the weight version that it was made under. */
-  private record Block(String group, String version) {}
+  private record Block(String group, String version, boolean broken) {}
 
   private final int capacity;
   private final EventLog events;
   private final LinkedHashMap<String, Block> blocks = new LinkedHashMap<>(16, 0.75f, true);
   private int versionViolations;
+  private int brokenBlocksUsed;
 
   BlockCache(int capacity, EventLog events) {
     this.capacity = capacity;
@@ -49,6 +51,7 @@
         versionViolations++;
         break;
       }
+      brokenBlocksUsed += block != null && block.broken ? 1 : 0;
       depth++;
     }
     touch(keys.subList(0, depth));
@@ -64,14 +67,19 @@
     }
   }
 
-  synchronized void put(List<String> keys, String version) {
+  void put(List<String> keys, String version) {
+    put(keys, version, Set.of());
+  }
+
+  /** Takes in blocks; the broken ones are remembered as such, to be seen if they are ever used. */
+  synchronized void put(List<String> keys, String version, Set<String> broken) {
     if (keys.isEmpty()) {
       return;
     }
     String group = keys.get(0);
     int fitting = Math.min(keys.size(), capacity);
     for (String key : keys.subList(0, fitting)) {
-      if (blocks.put(key, new Block(group, version)) == null) {
+      if (blocks.put(key, new Block(group, version, broken.contains(key))) == null) {
         events.add(group, key, "", true);
       }
     }
@@ -97,6 +105,10 @@
     blocks.forEach((key, block) -> EventLog.add(out, block.group, key, "", true));
   }
 
+  synchronized int brokenBlocksUsed() {
+    return brokenBlocksUsed;
+  }
+
   synchronized int versionViolations() {
     return versionViolations;
   }
--- a/standins/src/main/java/org/landingtrack/standins/EngineServer.java
+++ b/standins/src/main/java/org/landingtrack/standins/EngineServer.java
@@ -124,6 +124,11 @@
     return cache.versionViolations();
   }
 
+  /** Returns how often a block was used whose content is not that of its key. */
+  public int brokenBlocksUsed() {
+    return cache.brokenBlocksUsed();
+  }
+
   /** Returns how many orders with an old epoch were carried out. */
   public int staleOrders() {
     return staleOrders.get();
--- a/standins/src/main/java/org/landingtrack/standins/KvTransfer.java
+++ b/standins/src/main/java/org/landingtrack/standins/KvTransfer.java
@@ -20,7 +20,9 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import okhttp3.MediaType;
@@ -78,14 +80,25 @@
     ObjectNode ask = Json.LENIENT.createObjectNode();
     missing.forEach(ask.putArray("keys")::add);
     JsonNode answer = post("http://" + store + "/v1/manifests/" + manifest + "/read", ask);
-    if (answer == null || !isWhole(answer, missing)) {
+    if (answer == null || (!faults.on("skipChecks") && !isWhole(answer, missing))) {
       refusedBlocks.incrementAndGet();
       return -1;
     }
-    cache.put(keys, weightVersion);
+    cache.put(keys, weightVersion, broken(answer));
     return (long) missing.size() * blockBytes;
   }
 
+  private static Set<String> broken(JsonNode answer) {
+    Set<String> broken = new HashSet<>();
+    for (JsonNode block : answer.path("blocks")) {
+      String key = block.path("key").asText();
+      if (!block.path("content").asText().equals(content(key))) {
+        broken.add(key);
+      }
+    }
+    return broken;
+  }
+
   /** Every block is checked after reading: its checksum, and that the manifest still stands. */
   private boolean isWhole(JsonNode answer, List<String> wanted) {
     if (!answer.path("still_published").asBoolean()) {
--- a/standins/src/main/java/org/landingtrack/standins/StandinHttp.java
+++ b/standins/src/main/java/org/landingtrack/standins/StandinHttp.java
@@ -33,6 +33,7 @@
               QueuedThreadPool pool = new QueuedThreadPool(MAX_THREADS, 4);
               pool.setDaemon(true);
               config.jetty.threadPool = pool;
+              config.jetty.modifyServer(server -> server.setStopTimeout(0));
               config.http.maxRequestSize = 64L << 20;
               routes.accept(config);
             })
