A gateway uses every engine again after a swap; a refusal while loading is no retry

(1) A gateway that had heard "v1" of an engine never asked it for v2 again while any engine had v2, so all work went to the first engine that turned; this stayed so after the swap. (2) A refusal by an engine that loads weights took from the retry budget, which a slow machine with few requests has little of. Ruled out: the queue (6 callers, 20 places on one engine) and the engines' busy limit (the same count). Change: what an engine said of another version is old after 1 s; a request then asks one such engine at most (VersionChoice). The engine says that it is loading (X-Loading beside X-Not-Run); that costs no retry. The reason of a refusal is one enum instead of flags. Seen red: WeightSwapRoutingTest on the old code: 1 of 8 engines used after the swap ({one engine=400}), and "no retry is left" with 2 and 3 loads at once; now all 8 are used and no refusal is left after the swap. Conclusion: the swap no longer depends on the budget or on chance.

--- a/landingtrack/src/main/java/org/landingtrack/internal/dispatch/ModelRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/dispatch/ModelRun.java
@@ -56,7 +56,7 @@
   private static final long IDLE_MS = 10_000;
   private static final double RESTORE_FIXED_MS = 3;
   private static final int MAX_ATTEMPTS = 6;
-  private static final int MAX_VERSION_REFUSALS = 64;
+  private static final int MAX_WEIGHT_REFUSALS = 64;
   private static final int DEFAULT_KV_BYTES_PER_TOKEN = 1_000;
 
   private final ModelDispatcher parts;
@@ -74,7 +74,7 @@
   private boolean claimed;
   private boolean mayHaveRun;
   private int attempts;
-  private int versionRefusals;
+  private int weightRefusals;
   private @Nullable ServerState current;
   private long currentTokens;
   private long sentMs;
@@ -129,8 +129,8 @@
       if (report != null) {
         return report;
       }
-      if (isVersionRefusal(outcome) && versionRefusals++ < MAX_VERSION_REFUSALS) {
-        // Learning a server's version is no retry: nothing failed, and it is learnt once a swap.
+      if (isAboutWeights(outcome) && weightRefusals++ < MAX_WEIGHT_REFUSALS) {
+        // Learning what a server has loaded is no retry: nothing failed.
         attempts--;
         continue;
       }
@@ -142,9 +142,8 @@
     }
   }
 
-  private static boolean isVersionRefusal(CompletionOutcome outcome) {
-    return outcome instanceof CompletionOutcome.NotRun notRun
-        && !notRun.currentWeightVersion().isEmpty();
+  private static boolean isAboutWeights(CompletionOutcome outcome) {
+    return outcome instanceof CompletionOutcome.NotRun notRun && notRun.isAboutWeights();
   }
 
   private void checkDeadline() {
@@ -159,15 +158,10 @@
 
   private Route route() {
     Catalog catalog = parts.catalog.get();
-    String wanted = wantedVersion(catalog);
-    List<ServerView> views = views(catalog, wanted);
-    String version = wanted;
-    if (views.isEmpty() && delivered == 0) {
-      version = versionInstead(catalog, wanted);
-      views = views(catalog, version);
-    }
+    VersionChoice choice = chooseVersion(catalog);
+    String version = choice.version();
     PrefixChain chain = chain(version);
-    RouteDecision decision = parts.policy.decide(query(catalog, chain, views, version));
+    RouteDecision decision = parts.policy.decide(query(catalog, chain, choice.servers(), version));
     Optional<RouteOption> chosen = decision.chosen();
     decision.rejected().forEach(trace::say);
     if (chosen.isEmpty()) {
@@ -196,51 +190,24 @@
     }
   }
 
-  private String wantedVersion(Catalog catalog) {
-    if (delivered > 0) {
-      return deliveredVersion;
-    }
-    String fromCatalog =
-        catalog
-            .find(Kind.SERVICE, request.serviceName(), Service.class)
-            .map(Service::weightVersion)
-            .orElse(null);
-    String own = request.service().weightVersion();
-    return fromCatalog != null ? fromCatalog : own == null ? "" : own;
-  }
-
-  /** Servers whose version is the wanted one, or not known. */
-  private List<ServerView> views(Catalog catalog, String version) {
-    List<ServerView> views = new ArrayList<>();
-    long now = parts.ticker.millis();
-    for (ServerState state : parts.servers.available(catalog, request.serviceName(), excluded)) {
-      ServerView view = state.view(now);
-      if (view.weightVersion().isEmpty() || view.weightVersion().equals(version)) {
-        views.add(view);
-      }
-    }
-    return views;
-  }
-
-  /** While no server has the new version yet, requests run under the one that most servers have. */
-  private String versionInstead(Catalog catalog, String wanted) {
-    Map<String, Integer> counts = new HashMap<>();
+  private VersionChoice chooseVersion(Catalog catalog) {
     long now = parts.ticker.millis();
-    for (ServerState state : parts.servers.available(catalog, request.serviceName(), excluded)) {
-      counts.merge(state.view(now).weightVersion(), 1, Integer::sum);
-    }
-    String best = wanted;
-    int most = 0;
-    for (Map.Entry<String, Integer> entry : counts.entrySet()) {
-      if (entry.getValue() > most) {
-        best = entry.getKey();
-        most = entry.getValue();
-      }
+    List<ServerState> states =
+        parts.servers.available(catalog, request.serviceName(), excluded);
+    if (delivered > 0) {
+      return VersionChoice.only(deliveredVersion, states, now);
     }
-    if (!best.equals(wanted)) {
-      trace.say("No backend server has weight version " + wanted + " yet; " + best + " is used.");
+    String wanted = VersionChoice.wanted(catalog, request);
+    VersionChoice choice = VersionChoice.choose(wanted, states, weightRefusals == 0, now);
+    if (!choice.version().equals(wanted)) {
+      trace.say(
+          "No backend server has weight version "
+              + wanted
+              + " yet; "
+              + choice.version()
+              + " is used.");
     }
-    return best;
+    return choice;
   }
 
   private PrefixChain chain(String version) {
@@ -317,7 +284,7 @@
 
   private CompletionCall call(Route route) {
     return new CompletionCall(
-        request.id() + "-" + attempts + "." + versionRefusals,
+        request.id() + "-" + attempts + "." + weightRefusals,
         request.serviceName(),
         request.messages(),
         request.maxTokens(),
@@ -369,7 +336,7 @@
     long now = parts.ticker.millis();
     if (outcome instanceof CompletionOutcome.Whole whole) {
       state.succeeded(now);
-      state.hasWeightVersion(route.version());
+      state.hasWeightVersion(route.version(), now);
       trace.say(
           name
               + " answered whole: "
@@ -412,17 +379,14 @@
   private void noteNotRun(
       ServerState state, CompletionOutcome.NotRun notRun, String name, long now) {
     trace.say(name + " did not run it: " + notRun.why() + ".");
-    if (!notRun.currentWeightVersion().isEmpty()) {
-      state.hasWeightVersion(notRun.currentWeightVersion());
-      return;
-    }
-    if (notRun.leaving()) {
-      state.leaving(now);
-    }
-    if (notRun.fault()) {
-      state.failed(now);
-    } else {
-      state.refused(now);
+    switch (notRun.reason()) {
+      case OTHER_VERSION -> {
+        state.hasWeightVersion(notRun.currentWeightVersion(), now);
+        return;
+      }
+      case LEAVING -> state.leaving(now);
+      case FAULT -> state.failed(now);
+      case BUSY, LOADING -> state.refused(now);
     }
     excluded.add(name);
   }
--- a/landingtrack/src/main/java/org/landingtrack/internal/engine/CompletionOutcome.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/engine/CompletionOutcome.java
@@ -23,15 +23,35 @@
   /**
    * Nothing ran, for certain.
    *
-   * @param fault true if the server looks broken rather than busy
-   * @param leaving true if the server says that it is leaving
-   * @param currentWeightVersion the version that the server has instead; empty if that is not why
+   * @param currentWeightVersion the version that the server has instead; empty unless that is why
    */
-  record NotRun(String why, boolean fault, boolean leaving, String currentWeightVersion)
+  record NotRun(String why, Reason reason, String currentWeightVersion)
       implements CompletionOutcome {
+    /** Why a server did not run a request. */
+    public enum Reason {
+      /** It has no room now. */
+      BUSY,
+      /** It is loading weights and comes back by itself. */
+      LOADING,
+      /** It is leaving and takes no new work. */
+      LEAVING,
+      /** It has another weight version. */
+      OTHER_VERSION,
+      /** It looks broken. */
+      FAULT
+    }
+
     /** Returns an outcome for a server that is merely busy, or broken. */
     public static NotRun of(String why, boolean fault) {
-      return new NotRun(why, fault, false, "");
+      return new NotRun(why, fault ? Reason.FAULT : Reason.BUSY, "");
+    }
+
+    /**
+     * Returns true if the refusal only told what the server has loaded. Nothing failed then, and
+     * trying another server is no retry.
+     */
+    public boolean isAboutWeights() {
+      return reason == Reason.LOADING || reason == Reason.OTHER_VERSION;
     }
   }
 
--- a/landingtrack/src/main/java/org/landingtrack/internal/engine/HttpBackendClient.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/engine/HttpBackendClient.java
@@ -56,6 +56,9 @@
   /** Header by which a backend server says that it refused because it is leaving. */
   public static final String LEAVING_HEADER = "X-Leaving";
 
+  /** An engine's answer that did not run because it loads weights carries this header as well. */
+  public static final String LOADING_HEADER = "X-Loading";
+
   private final OkHttpClient client;
   private final Ticker ticker;
   private final ScheduledExecutorService deadlines;
@@ -164,12 +167,17 @@
     if (status == CONFLICT) {
       JsonNode body = Json.LENIENT.readTree(text);
       return new NotRun(
-          "has another weight version", false, false, body.path("weight_version").asText());
+          "has another weight version",
+          NotRun.Reason.OTHER_VERSION,
+          body.path("weight_version").asText());
     }
     if (response.header(LEAVING_HEADER) != null) {
-      return new NotRun("is leaving", false, true, "");
+      return new NotRun("is leaving", NotRun.Reason.LEAVING, "");
     }
     boolean saysNotRun = response.header(NOT_RUN_HEADER) != null;
+    if (saysNotRun && response.header(LOADING_HEADER) != null) {
+      return new NotRun("is loading weights", NotRun.Reason.LOADING, "");
+    }
     if (status == TOO_MANY || (status == UNAVAILABLE && saysNotRun)) {
       return NotRun.of("refused with " + status, false);
     }
--- a/landingtrack/src/main/java/org/landingtrack/internal/routing/ServerState.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/routing/ServerState.java
@@ -32,11 +32,15 @@
   private static final double WARM_UP_SHARE = 0.25;
   private static final double SMOOTHING = 0.2;
 
+  /** A server that said it has another weight version may have changed it after so long. */
+  private static final long VERSION_FRESH_MS = 1_000;
+
   /** Assumed time to compute a prompt token before any answer was seen. */
   private static final double FIRST_MS_PER_TOKEN = 0.05;
 
   private final NamedBackendServer server;
   private String weightVersion = "";
+  private long weightVersionAtMs = Long.MIN_VALUE;
   private int inFlight;
   private long pendingTokens;
   private long sentSinceReportTokens;
@@ -56,6 +60,7 @@
   synchronized ServerState withConfiguration(NamedBackendServer changed) {
     ServerState next = new ServerState(changed);
     next.weightVersion = weightVersion;
+    next.weightVersionAtMs = weightVersionAtMs;
     next.msPerToken = msPerToken;
     next.report = report;
     return next;
@@ -90,8 +95,30 @@
   }
 
   /** Notes the weight version that the server says it has. */
-  public synchronized void hasWeightVersion(String version) {
+  public synchronized void hasWeightVersion(String version, long nowMs) {
     weightVersion = version;
+    weightVersionAtMs = nowMs;
+  }
+
+  /** Whether a server has a weight version, as far as this gateway knows. */
+  public enum HasVersion {
+    YES,
+    /** It was never heard to have any version. */
+    NEVER_HEARD,
+    /** It had another one a while ago; weights may have been swapped since. */
+    STALE,
+    NO
+  }
+
+  /** Returns whether the server has a weight version now. */
+  public synchronized HasVersion hasVersion(String version, long nowMs) {
+    if (weightVersion.isEmpty()) {
+      return HasVersion.NEVER_HEARD;
+    }
+    if (weightVersion.equals(version)) {
+      return HasVersion.YES;
+    }
+    return nowMs - weightVersionAtMs >= VERSION_FRESH_MS ? HasVersion.STALE : HasVersion.NO;
   }
 
   /** Learns the speed of the server from an answer. */
--- a/landingtrack/src/test/java/org/landingtrack/internal/dispatch/ModelRunTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/dispatch/ModelRunTest.java
@@ -35,6 +35,8 @@
 import org.landingtrack.internal.engine.BackendClient;
 import org.landingtrack.internal.engine.CompletionCall;
 import org.landingtrack.internal.engine.CompletionOutcome;
+import org.landingtrack.internal.engine.CompletionOutcome.NotRun;
+import org.landingtrack.internal.engine.CompletionOutcome.NotRun.Reason;
 import org.landingtrack.internal.engine.PlainCall;
 import org.landingtrack.internal.engine.PlainOutcome;
 import org.landingtrack.internal.engine.TokenSink;
@@ -264,7 +266,7 @@
 
   @Test
   public void anotherWeightVersionIsTriedOnlyBeforeTheFirstToken() throws Exception {
-    CompletionOutcome otherVersion = new CompletionOutcome.NotRun("version", false, false, "v0");
+    CompletionOutcome otherVersion = new NotRun("version", Reason.OTHER_VERSION, "v0");
     List<Step> steps = new ArrayList<>();
     for (int i = 0; i < 4; i++) {
       steps.add(end(otherVersion));
@@ -282,7 +284,7 @@
     List<Step> steps = new ArrayList<>();
     for (int i = 0; i < 10; i++) {
       steps.add(
-          end(new CompletionOutcome.NotRun("version", false, false, i % 2 == 0 ? "v0" : "v1")));
+          end(new NotRun("version", Reason.OTHER_VERSION, i % 2 == 0 ? "v0" : "v1")));
     }
     steps.add(whole());
     ScriptedClient client = new ScriptedClient(steps);
@@ -291,7 +293,7 @@
 
   @Test
   public void aBrokenAnswerGoesOnUnderItsOwnWeightVersionOnly() {
-    CompletionOutcome otherVersion = new CompletionOutcome.NotRun("version", false, false, "v0");
+    CompletionOutcome otherVersion = new NotRun("version", Reason.OTHER_VERSION, "v0");
     ScriptedClient client =
         new ScriptedClient(
             List.of(cutAt(2), cutAt(0), end(otherVersion), end(otherVersion), end(otherVersion)));
--- a/landingtrack/src/test/java/org/landingtrack/internal/engine/HttpBackendClientTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/engine/HttpBackendClientTest.java
@@ -77,6 +77,13 @@
       {"closed after the request", Server.CLOSES_AFTER_REQUEST, "", "Broken", 0},
       {"silent until the deadline", Server.SILENT, "", "TooLate", 0},
       {"busy, says not run", Server.ANSWERS, status("503 Busy", "X-Not-Run: true"), "NotRun", 0},
+      {
+        "loading weights",
+        Server.ANSWERS,
+        status("503 Busy", "X-Not-Run: true\r\nX-Loading: true"),
+        "NotRun",
+        0
+      },
       {"too many", Server.ANSWERS, status("429 Too Many", "X-A: b"), "NotRun", 0},
       {"busy, says nothing", Server.ANSWERS, status("503 Busy", "X-A: b"), "Failed", 0},
       {"internal error", Server.ANSWERS, status("500 Oops", "X-A: b"), "Failed", 0},
--- a/standins/src/main/java/org/landingtrack/standins/EngineServer.java
+++ b/standins/src/main/java/org/landingtrack/standins/EngineServer.java
@@ -151,7 +151,11 @@
       ctx.status(503).header("X-Not-Run", "true").header("X-Leaving", "true").result("leaving");
       return;
     }
-    if (faults.on("refuse") || loading || queued.get() >= options.maxQueued()) {
+    if (loading) {
+      ctx.status(503).header("X-Not-Run", "true").header("X-Loading", "true").result("loading");
+      return;
+    }
+    if (faults.on("refuse") || queued.get() >= options.maxQueued()) {
       ctx.status(503).header("X-Not-Run", "true").result("busy");
       return;
     }
