--- a/landingtrack/src/main/java/org/landingtrack/internal/dispatch/ModelRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/dispatch/ModelRun.java
@@ -15,7 +15,6 @@
  */
 package org.landingtrack.internal.dispatch;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -192,8 +191,7 @@
 
   private VersionChoice chooseVersion(Catalog catalog) {
     long now = parts.ticker.millis();
-    List<ServerState> states =
-        parts.servers.available(catalog, request.serviceName(), excluded);
+    List<ServerState> states = parts.servers.available(catalog, request.serviceName(), excluded);
     if (delivered > 0) {
       return VersionChoice.only(deliveredVersion, states, now);
     }
--- a/landingtrack/src/main/java/org/landingtrack/internal/dispatch/VersionChoice.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/dispatch/VersionChoice.java
@@ -38,7 +38,9 @@
  */
 record VersionChoice(String version, List<ServerView> servers) {
 
-  /** Returns the version that the catalog names for the request's service; empty if it names none. */
+  /**
+   * Returns the version that the catalog names for the request's service; empty if it names none.
+   */
   static String wanted(Catalog catalog, ModelRequest request) {
     String fromCatalog =
         catalog
--- a/landingtrack/src/test/java/org/landingtrack/internal/dispatch/ModelRunTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/dispatch/ModelRunTest.java
@@ -283,8 +283,7 @@
   public void learningVersionsIsNoRetry() throws Exception {
     List<Step> steps = new ArrayList<>();
     for (int i = 0; i < 10; i++) {
-      steps.add(
-          end(new NotRun("version", Reason.OTHER_VERSION, i % 2 == 0 ? "v0" : "v1")));
+      steps.add(end(new NotRun("version", Reason.OTHER_VERSION, i % 2 == 0 ? "v0" : "v1")));
     }
     steps.add(whole());
     ScriptedClient client = new ScriptedClient(steps);
