TLS between processes and towards operators, renewed without a stop; keys command

Cause: operators' keys and the peers' messages crossed the network as plain text; anybody who reached a peer port could ask for a team's routes or push configuration pulls. Ways weighed: a key in each message (needs a replay window and hides nothing); TLS by a library of its own (the JDK has it); a new context at each renewal (every holder of a context must be told). Chosen: the JDK's TLS with a key and a trust manager that follow the newest files, so that one context lasts; both sides of a peer connection show a certificate of the deployment's authority; operators see the controller's certificate (ctl --ca). A renewal that is half done (new certificate, old key) is not used: the pair is checked by a signature. Also: 'landingtrack keys' makes keys, an authority and VMs' certificates; the providers that gateways and controllers shared stand once (ProcessModule); a routing decision hashes a server's name once, not in each decision. Tests: TlsTest, 18 cases: bad files by name, six pairings of own, foreign and no certificate, renewal. The garbage case failed first (the key's PEM marks were not asked for). UDP probes are not authenticated; they carry hints only.

--- a/landingtrack/src/main/java/org/landingtrack/internal/audit/package-info.java
+++ /dev/null
@@ -1,3 +0,0 @@
-/** The audit trail of changes. */
-@org.jspecify.annotations.NullMarked
-package org.landingtrack.internal.audit;
--- a/landingtrack/src/main/java/org/landingtrack/internal/base/Hashes.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/base/Hashes.java
@@ -35,6 +35,19 @@
     return Hashing.komihash5_0().hashStream().putString(key).putString(node).getAsLong();
   }
 
+  /** Returns a fast 64-bit hash of a text, for placement only. */
+  public static long placement(String text) {
+    return Hashing.komihash5_0().hashCharsToLong(text);
+  }
+
+  /**
+   * Returns the rendezvous weight of a node for a key, from the hashes of both; much cheaper than
+   * hashing the texts again for each pair.
+   */
+  public static long weight(long keyHash, long nodeHash) {
+    return Hashing.komihash5_0().hashLongLongToLong(keyHash, nodeHash);
+  }
+
   /** Orders nodes by rendezvous weight for a key, heaviest first; ties by name. */
   public static <T> List<T> rendezvous(String key, Collection<T> nodes, Function<T, String> name) {
     record Weighed<T>(T node, String name, long weight) {}
--- a/landingtrack/src/main/java/org/landingtrack/internal/cli/CommandLineProgram.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/cli/CommandLineProgram.java
@@ -40,6 +40,7 @@
         controller --settings FILE        keep gateways informed, serve operators
         ctl --controller ADDRESS VERB …   drive the system
         check FILE                        check a settings file
+        keys VERB …                       make keys and certificates
 
       options of every program: --help, --version
       exit codes: 0 done, 1 failed, 2 wrong usage or settings
@@ -88,6 +89,9 @@
       if (program.equals("ctl")) {
         out.print("\n" + Ctl.VERBS + "\noptions of ctl:\n" + describe(Ctl.options()));
       }
+      if (program.equals("keys")) {
+        out.print("\n" + Keys.VERBS + "\noptions of keys:\n" + describe(Keys.options()));
+      }
       return ExitCodes.DONE;
     }
     if (line.hasOption("version")) {
@@ -108,6 +112,7 @@
         }
         yield ProcessCommand.check(Path.of(words.get(0)));
       }
+      case "keys" -> Keys.run(line, words, out);
       case "ctl" -> {
         Logs.configure("text", "error");
         yield Ctl.run(line, words, out, err);
@@ -117,7 +122,12 @@
   }
 
   private static CommandLine parse(String program, String[] args) {
-    Options options = program.equals("ctl") ? Ctl.options() : new Options();
+    Options options =
+        switch (program) {
+          case "ctl" -> Ctl.options();
+          case "keys" -> Keys.options();
+          default -> new Options();
+        };
     options.addOption(Option.builder("h").longOpt("help").desc("show the usage").get());
     options.addOption(Option.builder().longOpt("version").desc("show the version").get());
     if (program.equals("gateway") || program.equals("controller")) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/cli/Ctl.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/cli/Ctl.java
@@ -98,6 +98,7 @@
     return new Options()
         .addOption(value("controller", "ADDRESS", "operators' address of any controller"))
         .addOption(value("key", "KEY", "operator key; else the variable LANDINGTRACK_KEY"))
+        .addOption(value("ca", "FILE", "connect by TLS; the authority's certificate in PEM"))
         .addOption(value("output", "FORMAT", "table or json"))
         .addOption(value("expected-version", "N", "refuse if another version is current"))
         .addOption(value("wait", "SECONDS", "wait until the change is in force everywhere"))
@@ -130,7 +131,7 @@
       throw new UsageException("--controller is missing");
     }
     String key = line.getOptionValue("key", System.getenv().getOrDefault("LANDINGTRACK_KEY", ""));
-    try (OperatorClient client = new OperatorClient(address, key)) {
+    try (OperatorClient client = new OperatorClient(address, key, line.getOptionValue("ca", ""))) {
       return new Ctl(client, line, out).verb(words);
     } catch (StatusRuntimeException e) {
       err.println("landingtrack ctl: " + describe(e));
--- a/landingtrack/src/main/java/org/landingtrack/internal/cli/OperatorClient.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/cli/OperatorClient.java
@@ -17,10 +17,14 @@
 
 import io.grpc.ManagedChannel;
 import io.grpc.Metadata;
+import io.grpc.netty.shaded.io.grpc.netty.GrpcSslContexts;
 import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder;
+import io.grpc.netty.shaded.io.netty.handler.ssl.SslContextBuilder;
 import io.grpc.stub.MetadataUtils;
+import java.io.File;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
+import javax.net.ssl.SSLException;
 import org.landingtrack.internal.base.Addresses;
 import org.landingtrack.operators.v1.OperatorsGrpc;
 import org.landingtrack.operators.v1.OperatorsGrpc.OperatorsBlockingStub;
@@ -34,14 +38,19 @@
   private final ManagedChannel channel;
   private final OperatorsBlockingStub stub;
 
-  OperatorClient(String address, String operatorKey) {
+  /**
+   * Connects to a controller.
+   *
+   * @param authority file with the certificates that are believed; empty connects without TLS
+   */
+  OperatorClient(String address, String operatorKey, String authority) {
     InetSocketAddress target;
     try {
       target = Addresses.parse(address);
     } catch (IllegalArgumentException e) {
       throw new UsageException("--controller is " + e.getMessage());
     }
-    this.channel = NettyChannelBuilder.forAddress(target).usePlaintext().build();
+    this.channel = channel(target, authority);
     Metadata headers = new Metadata();
     headers.put(KEY, operatorKey);
     this.stub =
@@ -49,6 +58,19 @@
             .withInterceptors(MetadataUtils.newAttachHeadersInterceptor(headers));
   }
 
+  private static ManagedChannel channel(InetSocketAddress target, String authority) {
+    NettyChannelBuilder builder = NettyChannelBuilder.forAddress(target);
+    if (authority.isEmpty()) {
+      return builder.usePlaintext().build();
+    }
+    try {
+      SslContextBuilder ssl = GrpcSslContexts.forClient().trustManager(new File(authority));
+      return builder.sslContext(ssl.build()).build();
+    } catch (SSLException | IllegalArgumentException e) {
+      throw new UsageException("--ca " + authority + " holds no certificate in PEM");
+    }
+  }
+
   OperatorsBlockingStub call() {
     return stub.withDeadlineAfter(DEADLINE_S, TimeUnit.SECONDS);
   }
--- a/landingtrack/src/main/java/org/landingtrack/internal/controller/ControllerComponent.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/controller/ControllerComponent.java
@@ -30,14 +30,18 @@
 import org.landingtrack.internal.peer.PeerClient;
 import org.landingtrack.internal.peer.PeerServer;
 import org.landingtrack.internal.platform.HttpObjectApi;
+import org.landingtrack.internal.tls.TlsRenewal;
 import org.landingtrack.internal.weights.WeightRoller;
+import org.landingtrack.internal.wiring.ProcessModule;
 
 /** The parts of one controller, wired. */
 @Singleton
-@Component(modules = ControllerModule.class)
+@Component(modules = {ProcessModule.class, ControllerModule.class})
 interface ControllerComponent {
   Metrics metrics();
 
+  TlsRenewal tls();
+
   HttpObjectApi objectApi();
 
   PeerServer peerServer();
--- a/landingtrack/src/main/java/org/landingtrack/internal/controller/ControllerModule.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/controller/ControllerModule.java
@@ -21,7 +21,6 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.function.Supplier;
-import org.landingtrack.internal.base.Metrics;
 import org.landingtrack.internal.base.Ticker;
 import org.landingtrack.internal.catalog.Catalog;
 import org.landingtrack.internal.claim.ClaimShards;
@@ -41,6 +40,7 @@
 import org.landingtrack.internal.operator.CatalogWriter;
 import org.landingtrack.internal.peer.PeerClient;
 import org.landingtrack.internal.peer.PeerServer;
+import org.landingtrack.internal.peer.PeerSockets;
 import org.landingtrack.internal.platform.HttpObjectApi;
 import org.landingtrack.internal.platform.ObjectApi;
 import org.landingtrack.internal.settings.ControllerSettings;
@@ -66,18 +66,6 @@
     this.settings = settings;
   }
 
-  @Provides
-  @Singleton
-  Ticker ticker() {
-    return Ticker.SYSTEM;
-  }
-
-  @Provides
-  @Singleton
-  Metrics metrics() {
-    return new Metrics();
-  }
-
   @Provides
   @Singleton
   HttpObjectApi httpObjectApi(Ticker ticker) {
@@ -91,14 +79,8 @@
 
   @Provides
   @Singleton
-  PeerServer peerServer() {
-    return PeerServer.open(settings.host(), settings.peerPort());
-  }
-
-  @Provides
-  @Singleton
-  PeerClient peerClient() {
-    return new PeerClient();
+  PeerServer peerServer(PeerSockets sockets) {
+    return PeerServer.open(settings.host(), settings.peerPort(), sockets);
   }
 
   /** The incarnation starts from the clock, so that a restarted VM outbids its own death. */
@@ -118,17 +100,6 @@
         membership, settings.host(), server.port(), settings.probeMs(), ticker);
   }
 
-  @Provides
-  @Singleton
-  ConfigReplica replica() {
-    return new ConfigReplica();
-  }
-
-  @Provides
-  Supplier<Catalog> catalog(ConfigReplica replica) {
-    return replica::catalog;
-  }
-
   @Provides
   @Singleton
   ConfigFeed feed(
--- a/landingtrack/src/main/java/org/landingtrack/internal/controller/ControllerProcess.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/controller/ControllerProcess.java
@@ -43,6 +43,7 @@
 import org.landingtrack.internal.platform.PlatformException;
 import org.landingtrack.internal.platform.VmList;
 import org.landingtrack.internal.settings.ControllerSettings;
+import org.landingtrack.internal.wiring.ProcessModule;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -77,7 +78,11 @@
             this::explain);
     this.operators =
         OperatorServer.open(
-            settings.host(), settings.operatorsPort(), service, settings.operators());
+            settings.host(),
+            settings.operatorsPort(),
+            service,
+            settings.operators(),
+            parts.tls().identities());
     addMetrics();
     this.http =
         HttpServers.start(
@@ -94,6 +99,7 @@
   public static ControllerProcess start(ControllerSettings settings) {
     ControllerComponent parts =
         DaggerControllerComponent.builder()
+            .processModule(new ProcessModule(settings.tls()))
             .controllerModule(new ControllerModule(settings))
             .build();
     ControllerProcess process = new ControllerProcess(settings, parts);
@@ -286,6 +292,7 @@
     parts.peerServer().close();
     parts.peerClient().close();
     http.stop();
+    parts.tls().close();
     stopped.countDown();
   }
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/gateway/GatewayComponent.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/gateway/GatewayComponent.java
@@ -25,13 +25,17 @@
 import org.landingtrack.internal.dispatch.ServiceGates;
 import org.landingtrack.internal.peer.PeerClient;
 import org.landingtrack.internal.routing.ServerTable;
+import org.landingtrack.internal.tls.TlsRenewal;
+import org.landingtrack.internal.wiring.ProcessModule;
 
 /** The parts of one gateway, wired. */
 @Singleton
-@Component(modules = GatewayModule.class)
+@Component(modules = {ProcessModule.class, GatewayModule.class})
 interface GatewayComponent {
   Metrics metrics();
 
+  TlsRenewal tls();
+
   ConfigReplica replica();
 
   ControllerLink link();
--- a/landingtrack/src/main/java/org/landingtrack/internal/gateway/GatewayModule.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/gateway/GatewayModule.java
@@ -54,35 +54,6 @@
     this.settings = settings;
   }
 
-  @Provides
-  @Singleton
-  Ticker ticker() {
-    return Ticker.SYSTEM;
-  }
-
-  @Provides
-  @Singleton
-  Metrics metrics() {
-    return new Metrics();
-  }
-
-  @Provides
-  @Singleton
-  ConfigReplica replica() {
-    return new ConfigReplica();
-  }
-
-  @Provides
-  Supplier<Catalog> catalog(ConfigReplica replica) {
-    return replica::catalog;
-  }
-
-  @Provides
-  @Singleton
-  PeerClient peers() {
-    return new PeerClient();
-  }
-
   @Provides
   @Singleton
   Explainer explainer() {
--- a/landingtrack/src/main/java/org/landingtrack/internal/gateway/GatewayProcess.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/gateway/GatewayProcess.java
@@ -20,6 +20,7 @@
 import org.landingtrack.internal.base.Duty;
 import org.landingtrack.internal.base.HttpServers;
 import org.landingtrack.internal.settings.GatewaySettings;
+import org.landingtrack.internal.wiring.ProcessModule;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -67,7 +68,10 @@
   /** Starts a gateway; it runs until it is closed. */
   public static GatewayProcess start(GatewaySettings settings) {
     GatewayComponent parts =
-        DaggerGatewayComponent.builder().gatewayModule(new GatewayModule(settings)).build();
+        DaggerGatewayComponent.builder()
+            .processModule(new ProcessModule(settings.tls()))
+            .gatewayModule(new GatewayModule(settings))
+            .build();
     GatewayProcess process = new GatewayProcess(settings, parts);
     parts.link().start();
     process.shares.every(SHARES_EVERY_MS, process::updateShares);
@@ -112,6 +116,7 @@
     parts.link().close();
     http.stop();
     parts.peers().close();
+    parts.tls().close();
     log.info("Gateway {} stopped.", settings.vm());
     stopped.countDown();
   }
--- a/landingtrack/src/main/java/org/landingtrack/internal/operator/OperatorServer.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/operator/OperatorServer.java
@@ -17,14 +17,18 @@
 
 import io.grpc.Server;
 import io.grpc.ServerInterceptors;
+import io.grpc.netty.shaded.io.grpc.netty.GrpcSslContexts;
 import io.grpc.netty.shaded.io.grpc.netty.NettyServerBuilder;
+import io.grpc.netty.shaded.io.netty.handler.ssl.SslContextBuilder;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.Executors;
 import org.landingtrack.ErrorKind;
 import org.landingtrack.LandingtrackException;
 import org.landingtrack.internal.base.Duty;
+import org.landingtrack.internal.tls.TlsIdentities;
 
 /** Serves the operators' interface on a port. */
 public final class OperatorServer implements AutoCloseable {
@@ -36,17 +40,27 @@
     this.server = server;
   }
 
-  /** Opens the port; 0 takes a free one. */
+  /**
+   * Opens the port; 0 takes a free one.
+   *
+   * @param tls the certificate that operators see; empty serves without TLS
+   */
   public static OperatorServer open(
-      String host, int port, OperatorService service, List<String> operators) {
+      String host,
+      int port,
+      OperatorService service,
+      List<String> operators,
+      Optional<TlsIdentities> tls) {
     try {
-      Server server =
+      NettyServerBuilder builder =
           NettyServerBuilder.forAddress(new InetSocketAddress(host, port))
               .executor(Executors.newFixedThreadPool(THREADS, Duty.daemon("operator")))
-              .addService(ServerInterceptors.intercept(service, new OperatorAuth(operators)))
-              .build()
-              .start();
-      return new OperatorServer(server);
+              .addService(ServerInterceptors.intercept(service, new OperatorAuth(operators)));
+      if (tls.isPresent()) {
+        SslContextBuilder ssl = SslContextBuilder.forServer(tls.get().keyManager());
+        builder.sslContext(GrpcSslContexts.configure(ssl).build());
+      }
+      return new OperatorServer(builder.build().start());
     } catch (IOException e) {
       throw new LandingtrackException(
           ErrorKind.INTERNAL, "cannot open operators' port " + host + ":" + port, e);
--- a/landingtrack/src/main/java/org/landingtrack/internal/peer/PeerClient.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/peer/PeerClient.java
@@ -37,8 +37,18 @@
   private static final int IDLE_PER_PEER = 8;
   private static final int MAX_CONNECT_MS = 1_000;
 
+  private final PeerSockets sockets;
   private final Map<String, ArrayBlockingQueue<Connection>> idle = new ConcurrentHashMap<>();
 
+  /** Creates a client without TLS. */
+  public PeerClient() {
+    this(PeerSockets.PLAIN);
+  }
+
+  public PeerClient(PeerSockets sockets) {
+    this.sockets = sockets;
+  }
+
   /** Calls a peer and waits for its answer, at most so long. */
   public <T> T call(String address, Object message, Class<T> answerType, int timeoutMs) {
     Connection kept = pool(address).poll();
@@ -52,7 +62,7 @@
     }
     Connection fresh = null;
     try {
-      fresh = Connection.open(address, Math.min(MAX_CONNECT_MS, timeoutMs));
+      fresh = Connection.open(sockets, address, Math.min(MAX_CONNECT_MS, timeoutMs));
       return call(address, fresh, message, answerType, timeoutMs);
     } catch (IOException e) {
       if (fresh != null) {
@@ -94,15 +104,17 @@
   }
 
   private record Connection(Socket socket, DataInputStream in, DataOutputStream out) {
-    static Connection open(String address, int timeoutMs) throws IOException {
+    static Connection open(PeerSockets sockets, String address, int timeoutMs) throws IOException {
       Socket socket = new Socket();
       try {
         socket.connect(Addresses.parse(address), timeoutMs);
         socket.setTcpNoDelay(true);
+        socket.setSoTimeout(timeoutMs);
+        Socket secured = sockets.secure(socket, true);
         return new Connection(
-            socket,
-            new DataInputStream(new BufferedInputStream(socket.getInputStream())),
-            new DataOutputStream(new BufferedOutputStream(socket.getOutputStream())));
+            secured,
+            new DataInputStream(new BufferedInputStream(secured.getInputStream())),
+            new DataOutputStream(new BufferedOutputStream(secured.getOutputStream())));
       } catch (IOException e) {
         socket.close();
         throw e;
--- a/landingtrack/src/main/java/org/landingtrack/internal/peer/PeerServer.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/peer/PeerServer.java
@@ -47,9 +47,11 @@
   private static final Logger log = LoggerFactory.getLogger("peer");
   private static final int MAX_CONNECTIONS = 512;
   private static final int IDLE_TIMEOUT_MS = 120_000;
+  private static final int HANDSHAKE_TIMEOUT_MS = 3_000;
   private static final long CLOSE_MS = 1_000;
 
   private final ServerSocket listener;
+  private final PeerSockets sockets;
   private final Thread acceptor;
   private final Map<String, Route<?>> routes = new ConcurrentHashMap<>();
   private final Semaphore connections = new Semaphore(MAX_CONNECTIONS);
@@ -67,18 +69,24 @@
     }
   }
 
-  private PeerServer(ServerSocket listener) {
+  private PeerServer(ServerSocket listener, PeerSockets sockets) {
     this.listener = listener;
+    this.sockets = sockets;
     this.acceptor = Duty.daemon("peer-accept").newThread(this::acceptAll);
   }
 
-  /** Opens the port; 0 takes a free one. */
+  /** Opens a port without TLS; 0 takes a free one. */
   public static PeerServer open(String host, int port) {
+    return open(host, port, PeerSockets.PLAIN);
+  }
+
+  /** Opens the port; 0 takes a free one. */
+  public static PeerServer open(String host, int port, PeerSockets sockets) {
     try {
       ServerSocket listener = new ServerSocket();
       listener.setReuseAddress(true);
       listener.bind(new InetSocketAddress(InetAddress.getByName(host), port));
-      PeerServer server = new PeerServer(listener);
+      PeerServer server = new PeerServer(listener, sockets);
       server.acceptor.start();
       return server;
     } catch (IOException e) {
@@ -117,10 +125,12 @@
   private void serve(Socket socket) {
     try (socket) {
       socket.setTcpNoDelay(true);
+      socket.setSoTimeout(HANDSHAKE_TIMEOUT_MS);
+      Socket secured = sockets.secure(socket, false);
       socket.setSoTimeout(IDLE_TIMEOUT_MS);
-      DataInputStream in = new DataInputStream(new BufferedInputStream(socket.getInputStream()));
+      DataInputStream in = new DataInputStream(new BufferedInputStream(secured.getInputStream()));
       DataOutputStream out =
-          new DataOutputStream(new BufferedOutputStream(socket.getOutputStream()));
+          new DataOutputStream(new BufferedOutputStream(secured.getOutputStream()));
       while (!listener.isClosed()) {
         Frames.write(out, answer(Frames.read(in)));
       }
--- a/landingtrack/src/main/java/org/landingtrack/internal/routing/CostPolicy.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/routing/CostPolicy.java
@@ -115,14 +115,14 @@
       return servers;
     }
     Map<String, ServerView> chosen = new LinkedHashMap<>();
-    String group = query.chain().group();
+    long group = Hashes.placement(query.chain().group());
     ServerView[] hashed = new ServerView[HASHED];
     long[] weights = new long[HASHED];
     for (ServerView server : servers) {
       if (heldDepth.containsKey(server.name())) {
         chosen.put(server.name(), server);
       }
-      insert(hashed, weights, server, Hashes.placement(group, server.name()));
+      insert(hashed, weights, server, Hashes.weight(group, server.nameHash()));
     }
     for (ServerView server : hashed) {
       chosen.put(server.name(), server);
@@ -161,10 +161,11 @@
    * Orders by cost; among equals the rendezvous order of the prompt keeps returning ones together.
    */
   private static void sort(List<RouteOption> options, RouteQuery query) {
-    String group = query.chain().group();
+    long group = Hashes.placement(query.chain().group());
     options.sort(
         Comparator.comparingDouble((RouteOption option) -> Math.rint(option.cost() / TIE))
             .thenComparing(
-                option -> Hashes.placement(group, option.server()), Comparator.reverseOrder()));
+                option -> Hashes.weight(group, Hashes.placement(option.server())),
+                Comparator.reverseOrder()));
   }
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/routing/ServerState.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/routing/ServerState.java
@@ -15,6 +15,7 @@
  */
 package org.landingtrack.internal.routing;
 
+import org.landingtrack.internal.base.Hashes;
 import org.landingtrack.internal.catalog.Catalog.NamedBackendServer;
 
 /**
@@ -39,6 +40,7 @@
   private static final double FIRST_MS_PER_TOKEN = 0.05;
 
   private final NamedBackendServer server;
+  private final long nameHash;
   private String weightVersion = "";
   private long weightVersionAtMs = Long.MIN_VALUE;
   private int inFlight;
@@ -54,6 +56,7 @@
 
   public ServerState(NamedBackendServer server) {
     this.server = server;
+    this.nameHash = Hashes.placement(server.name());
   }
 
   /** Creates the state of a server whose configuration changed; what was seen of it stays. */
@@ -186,6 +189,7 @@
         report,
         sentSinceReportTokens,
         msPerToken,
-        share(nowMs));
+        share(nowMs),
+        nameHash);
   }
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/routing/ServerView.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/routing/ServerView.java
@@ -15,6 +15,8 @@
  */
 package org.landingtrack.internal.routing;
 
+import org.landingtrack.internal.base.Hashes;
+
 /**
  * A backend server as one decision sees it.
  *
@@ -25,6 +27,7 @@
  * @param report the last load report
  * @param sentSinceReportTokens prompt tokens that this gateway sent since then
  * @param msPerToken observed time to compute one prompt token
+ * @param nameHash {@link Hashes#placement(String)} of the name, made once for many decisions
  * @param share 1 for a healthy server; less while it is warming up after a failure; 0 if ejected
  */
 public record ServerView(
@@ -37,7 +40,34 @@
     LoadReport report,
     long sentSinceReportTokens,
     double msPerToken,
-    double share) {
+    double share,
+    long nameHash) {
+
+  /** Creates a view whose name is hashed now. */
+  public ServerView(
+      String name,
+      String dataCentre,
+      int maxConcurrent,
+      String weightVersion,
+      int inFlight,
+      long pendingTokens,
+      LoadReport report,
+      long sentSinceReportTokens,
+      double msPerToken,
+      double share) {
+    this(
+        name,
+        dataCentre,
+        maxConcurrent,
+        weightVersion,
+        inFlight,
+        pendingTokens,
+        report,
+        sentSinceReportTokens,
+        msPerToken,
+        share,
+        Hashes.placement(name));
+  }
 
   /** Returns true if the server may get new work. */
   public boolean isUsable() {
--- a/landingtrack/src/main/java/org/landingtrack/internal/settings/CommonKeys.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/settings/CommonKeys.java
@@ -15,7 +15,11 @@
  */
 package org.landingtrack.internal.settings;
 
+import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
+import org.jspecify.annotations.Nullable;
+import org.landingtrack.internal.tls.TlsFiles;
 
 /** The keys that gateways and controllers share. */
 final class CommonKeys {
@@ -25,6 +29,11 @@
   static final String ADDRESS_RULE = "an address such as 10.0.0.1:7000";
   static final String HOST = "[0-9a-fA-F.:]+";
   static final String HOST_RULE = "an IP address";
+  private static final String TLS_CERTIFICATE = "tls.certificate";
+  private static final String TLS_PRIVATE_KEY = "tls.privateKey";
+  private static final String TLS_AUTHORITY = "tls.authority";
+  private static final String FILE = ".+";
+  private static final String FILE_RULE = "the path of a PEM file";
   static final int MAX_PORT = 65_535;
 
   static final List<SettingKey> KEYS =
@@ -34,7 +43,33 @@
           SettingKey.text("dataCentre", null, NAME, NAME_RULE),
           SettingKey.text("region", "default", NAME, NAME_RULE),
           SettingKey.text("log.format", "text", "text|json", "text or json"),
-          SettingKey.text("log.level", "info", "debug|info|warn|error", "a log level"));
+          SettingKey.text("log.level", "info", "debug|info|warn|error", "a log level"),
+          SettingKey.text(TLS_CERTIFICATE, "", FILE, FILE_RULE),
+          SettingKey.text(TLS_PRIVATE_KEY, "", FILE, FILE_RULE),
+          SettingKey.text(TLS_AUTHORITY, "", FILE, FILE_RULE));
 
   private CommonKeys() {}
+
+  /** Returns the TLS files; null if none is named; relative paths start at the settings file. */
+  static @Nullable TlsFiles tls(Path settingsFile, SettingsReader.Values values) {
+    List<String> missing = new ArrayList<>();
+    for (String key : List.of(TLS_CERTIFICATE, TLS_PRIVATE_KEY, TLS_AUTHORITY)) {
+      if (values.text(key).isEmpty()) {
+        missing.add(key);
+      }
+    }
+    if (missing.size() == 3) {
+      return null;
+    }
+    if (!missing.isEmpty()) {
+      throw new SettingsException(
+          settingsFile.toString(),
+          1,
+          "key '" + missing.get(0) + "' is missing; the three keys of tls go together");
+    }
+    return new TlsFiles(
+        settingsFile.resolveSibling(values.text(TLS_CERTIFICATE)),
+        settingsFile.resolveSibling(values.text(TLS_PRIVATE_KEY)),
+        settingsFile.resolveSibling(values.text(TLS_AUTHORITY)));
+  }
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/settings/ControllerSettings.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/settings/ControllerSettings.java
@@ -18,6 +18,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import org.jspecify.annotations.Nullable;
+import org.landingtrack.internal.tls.TlsFiles;
 
 /**
  * Checked settings of a controller.
@@ -26,6 +28,7 @@
  * @param vmList URL of the platform's VM list; empty if there is none
  * @param seeds peer addresses that are tried when the VM list does not answer
  * @param operators entries {@code name:role:sha256-of-key}
+ * @param tls key and certificates towards other processes and operators; null without TLS
  */
 public record ControllerSettings(
     String vm,
@@ -41,7 +44,8 @@
     String vmList,
     List<String> seeds,
     List<String> operators,
-    long probeMs) {
+    long probeMs,
+    @Nullable TlsFiles tls) {
 
   private static final String URL = "http://.+|https://.+|";
   private static final List<SettingKey> KEYS = keys();
@@ -82,6 +86,7 @@
         v.text("platform.vmList"),
         v.texts("seeds"),
         v.texts("operators"),
-        v.number("membership.probeMs"));
+        v.number("membership.probeMs"),
+        CommonKeys.tls(path, v));
   }
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/settings/GatewaySettings.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/settings/GatewaySettings.java
@@ -18,6 +18,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import org.jspecify.annotations.Nullable;
+import org.landingtrack.internal.tls.TlsFiles;
 
 /**
  * Checked settings of a gateway. Times are in milliseconds, sizes in bytes.
@@ -25,6 +27,7 @@
  * @param controllers addresses of controllers' peer ports, the own VM's first
  * @param policy how requests are routed; anything but {@code landingtrack} is a baseline for
  *     measurements
+ * @param tls key and certificates towards other processes and operators; null without TLS
  */
 public record GatewaySettings(
     String vm,
@@ -41,7 +44,8 @@
     long stopGraceMs,
     int maxRequests,
     String policy,
-    long seed) {
+    long seed,
+    @Nullable TlsFiles tls) {
 
   private static final List<SettingKey> KEYS = keys();
 
@@ -83,6 +87,7 @@
         v.number("stopGraceMs"),
         v.integer("requests.maxConcurrent"),
         v.text("routing.policy"),
-        v.number("routing.seed"));
+        v.number("routing.seed"),
+        CommonKeys.tls(path, v));
   }
 }
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/tls/CertificateIssuer.java
@@ -0,0 +1,103 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.tls;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import okhttp3.tls.HeldCertificate;
+import org.landingtrack.ErrorKind;
+import org.landingtrack.LandingtrackException;
+
+/**
+ * Makes an authority and the certificates of VMs, for deployments that have no authority of their
+ * own. Files that exist are never replaced.
+ */
+public final class CertificateIssuer {
+  /** File of a certificate. */
+  public static final String CERTIFICATE = "certificate.pem";
+
+  /** File of a private key; only its owner may read it. */
+  public static final String PRIVATE_KEY = "private-key.pem";
+
+  /** File of the authority's certificate, beside each issued one. */
+  public static final String AUTHORITY = "authority.pem";
+
+  private CertificateIssuer() {}
+
+  /** Makes an authority in a folder. */
+  public static void newAuthority(Path folder, int days) {
+    HeldCertificate authority =
+        new HeldCertificate.Builder()
+            .commonName("landingtrack authority")
+            .certificateAuthority(0)
+            .duration(days, TimeUnit.DAYS)
+            .build();
+    write(folder.resolve(CERTIFICATE), authority.certificatePem(), false);
+    write(folder.resolve(PRIVATE_KEY), authority.privateKeyPkcs8Pem(), true);
+  }
+
+  /**
+   * Issues the certificate of a VM.
+   *
+   * @param addresses the IP addresses under which operators reach the VM
+   */
+  public static void issue(
+      Path authorityFolder, String vm, List<String> addresses, int days, Path folder) {
+    String authorityPem = read(authorityFolder.resolve(CERTIFICATE));
+    HeldCertificate authority =
+        HeldCertificate.decode(authorityPem + read(authorityFolder.resolve(PRIVATE_KEY)));
+    HeldCertificate.Builder builder =
+        new HeldCertificate.Builder()
+            .commonName(vm)
+            .signedBy(authority)
+            .duration(days, TimeUnit.DAYS);
+    addresses.forEach(builder::addSubjectAlternativeName);
+    HeldCertificate issued = builder.build();
+    write(folder.resolve(CERTIFICATE), issued.certificatePem(), false);
+    write(folder.resolve(PRIVATE_KEY), issued.privateKeyPkcs8Pem(), true);
+    write(folder.resolve(AUTHORITY), authorityPem, false);
+  }
+
+  private static String read(Path file) {
+    try {
+      return Files.readString(file);
+    } catch (IOException e) {
+      throw new LandingtrackException(ErrorKind.NOT_FOUND, "cannot read " + file);
+    }
+  }
+
+  private static void write(Path file, String text, boolean secret) {
+    try {
+      Path folder = file.toAbsolutePath().getParent();
+      if (folder != null) {
+        Files.createDirectories(folder);
+      }
+      Files.createFile(
+          file,
+          PosixFilePermissions.asFileAttribute(
+              PosixFilePermissions.fromString(secret ? "rw-------" : "rw-r--r--")));
+      Files.writeString(file, text, StandardOpenOption.WRITE);
+    } catch (IOException e) {
+      throw new LandingtrackException(
+          ErrorKind.BAD_REQUEST, "cannot write " + file + "; files that exist are never replaced");
+    }
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/tls/TlsIdentities.java
@@ -0,0 +1,214 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.tls;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.security.GeneralSecurityException;
+import java.security.Principal;
+import java.security.PrivateKey;
+import java.security.cert.CertificateException;
+import java.security.cert.X509Certificate;
+import java.time.Instant;
+import javax.net.ssl.KeyManager;
+import javax.net.ssl.SSLContext;
+import javax.net.ssl.SSLEngine;
+import javax.net.ssl.TrustManager;
+import javax.net.ssl.X509ExtendedKeyManager;
+import javax.net.ssl.X509ExtendedTrustManager;
+import org.jspecify.annotations.Nullable;
+import org.landingtrack.LandingtrackException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A process's identity, exchanged for a newer one when its files are replaced. Connections that
+ * stand keep the identity that they began with; new ones use the newest that could be read.
+ * Thread-safe.
+ *
+ * <pre>{@code
+ * TlsIdentities identities = TlsIdentities.load(files);
+ * duty.every(1_000, identities::reloadIfChanged);
+ * SSLContext context = identities.context();
+ * }</pre>
+ */
+public final class TlsIdentities {
+  private static final Logger log = LoggerFactory.getLogger("tls");
+
+  private final TlsFiles files;
+  private final SSLContext context;
+  private volatile TlsIdentity current;
+  private String fingerprint;
+
+  private TlsIdentities(TlsFiles files) {
+    this.files = files;
+    this.fingerprint = fingerprint(files);
+    this.current = TlsIdentity.load(files);
+    this.context = newContext();
+  }
+
+  /** Reads the files; throws {@link LandingtrackException} naming the file that is not right. */
+  public static TlsIdentities load(TlsFiles files) {
+    return new TlsIdentities(files);
+  }
+
+  private static String fingerprint(TlsFiles files) {
+    try {
+      return files.fingerprint();
+    } catch (IOException e) {
+      return "";
+    }
+  }
+
+  private SSLContext newContext() {
+    try {
+      SSLContext made = SSLContext.getInstance("TLS");
+      made.init(new KeyManager[] {keyManager()}, new TrustManager[] {trustManager()}, null);
+      // A resumed session would go on under an identity that was exchanged since.
+      made.getServerSessionContext().setSessionTimeout(1);
+      return made;
+    } catch (GeneralSecurityException e) {
+      throw new IllegalStateException("every JDK has TLS", e);
+    }
+  }
+
+  /**
+   * Reads the files again if they changed. Files that are half replaced or wrong change nothing:
+   * the last good identity stays and the next call tries again.
+   */
+  public synchronized void reloadIfChanged() {
+    String now = fingerprint(files);
+    if (now.isEmpty() || now.equals(fingerprint)) {
+      return;
+    }
+    try {
+      current = TlsIdentity.load(files);
+      fingerprint = now;
+      log.info("The certificate was renewed, it ends at {}.", current.expiresAt());
+    } catch (LandingtrackException e) {
+      log.warn("The new certificate is not used: {}.", e.getMessage());
+    }
+  }
+
+  /** Returns a context that follows the identity. */
+  public SSLContext context() {
+    return context;
+  }
+
+  /** Returns when the certificate in use ends. */
+  public Instant expiresAt() {
+    return current.expiresAt();
+  }
+
+  /** Returns the key manager that follows the identity. */
+  public X509ExtendedKeyManager keyManager() {
+    return new FollowingKeyManager();
+  }
+
+  /** Returns the trust manager that follows the identity. */
+  public X509ExtendedTrustManager trustManager() {
+    return new FollowingTrustManager();
+  }
+
+  private final class FollowingKeyManager extends X509ExtendedKeyManager {
+    @Override
+    public String @Nullable [] getClientAliases(String type, Principal @Nullable [] issuers) {
+      return current.keys().getClientAliases(type, issuers);
+    }
+
+    @Override
+    public @Nullable String chooseClientAlias(
+        String[] types, Principal @Nullable [] issuers, @Nullable Socket socket) {
+      return current.keys().chooseClientAlias(types, issuers, socket);
+    }
+
+    @Override
+    public @Nullable String chooseEngineClientAlias(
+        String[] types, Principal @Nullable [] issuers, @Nullable SSLEngine engine) {
+      return current.keys().chooseEngineClientAlias(types, issuers, engine);
+    }
+
+    @Override
+    public String @Nullable [] getServerAliases(String type, Principal @Nullable [] issuers) {
+      return current.keys().getServerAliases(type, issuers);
+    }
+
+    @Override
+    public @Nullable String chooseServerAlias(
+        String type, Principal @Nullable [] issuers, @Nullable Socket socket) {
+      return current.keys().chooseServerAlias(type, issuers, socket);
+    }
+
+    @Override
+    public @Nullable String chooseEngineServerAlias(
+        String type, Principal @Nullable [] issuers, @Nullable SSLEngine engine) {
+      return current.keys().chooseEngineServerAlias(type, issuers, engine);
+    }
+
+    @Override
+    public X509Certificate @Nullable [] getCertificateChain(String alias) {
+      return current.keys().getCertificateChain(alias);
+    }
+
+    @Override
+    public @Nullable PrivateKey getPrivateKey(String alias) {
+      return current.keys().getPrivateKey(alias);
+    }
+  }
+
+  private final class FollowingTrustManager extends X509ExtendedTrustManager {
+    @Override
+    public void checkClientTrusted(X509Certificate[] chain, String type, Socket socket)
+        throws CertificateException {
+      current.trust().checkClientTrusted(chain, type, socket);
+    }
+
+    @Override
+    public void checkServerTrusted(X509Certificate[] chain, String type, Socket socket)
+        throws CertificateException {
+      current.trust().checkServerTrusted(chain, type, socket);
+    }
+
+    @Override
+    public void checkClientTrusted(X509Certificate[] chain, String type, SSLEngine engine)
+        throws CertificateException {
+      current.trust().checkClientTrusted(chain, type, engine);
+    }
+
+    @Override
+    public void checkServerTrusted(X509Certificate[] chain, String type, SSLEngine engine)
+        throws CertificateException {
+      current.trust().checkServerTrusted(chain, type, engine);
+    }
+
+    @Override
+    public void checkClientTrusted(X509Certificate[] chain, String type)
+        throws CertificateException {
+      current.trust().checkClientTrusted(chain, type);
+    }
+
+    @Override
+    public void checkServerTrusted(X509Certificate[] chain, String type)
+        throws CertificateException {
+      current.trust().checkServerTrusted(chain, type);
+    }
+
+    @Override
+    public X509Certificate[] getAcceptedIssuers() {
+      return current.trust().getAcceptedIssuers();
+    }
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/wiring/package-info.java
@@ -0,0 +1,3 @@
+/** The parts that every process of the product has. */
+@org.jspecify.annotations.NullMarked
+package org.landingtrack.internal.wiring;
