Overload no longer collapses: short queues at engines, prices for what a request costs others

Found by the traces of recomputed answers and the gates' state: (1) gateways sent up to 1.25 requests a place; engines compute prompts one after another, so queues there passed the deadlines; (2) the learned speed of a server counted other gateways' queues as slowness; (3) under load prompts were copied to whichever engine was idle for 3 ms, each copy evicting others; (4) restored blocks were evicted before their request began; (5) a prompt that needed 1.2 s of computing was let in while 24 others waited. Change: ConcurrencyLimit (AIMD on the wait at servers, judged by what was sent after a decrease); speed follows the quickest answers; a way's cost holds the delay of others (waiting requests x work, evicted blocks, scarcity of the link's budget); a prompt belongs to its first server by rendezvous; imports and accepted requests pin their blocks (engine contract: pin_ms); hopeless work is refused at once, truly not run, with a time to come back.

--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/admission/ConcurrencyLimit.java
@@ -0,0 +1,87 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.admission;
+
+/**
+ * How many requests of a service one gateway lets run at once, learned from what its requests wait
+ * at the backend servers (additive increase, multiplicative decrease).
+ *
+ * <p>Engines take more requests than they can start in time. Work that waits there can no longer be
+ * ordered between teams, be sent elsewhere or be refused in time; so the queues there are kept
+ * short and requests wait in the gateway. Thread-safe.
+ */
+public final class ConcurrencyLimit {
+  private static final long WINDOW_MS = 250;
+  private static final double DECREASE = 0.8;
+
+  /** A request may wait so much at its server, whatever its own work is. */
+  private static final double TOLERATED_MS = 50;
+
+  /** A request may wait for so many others of its own size. */
+  private static final double TOLERATED_WORKS = 3;
+
+  private double limit = Double.MAX_VALUE;
+  private long decreasedMs = Long.MIN_VALUE;
+  private long windowStartMs;
+  private double waitedMs;
+  private double workedMs;
+  private int samples;
+  private int mostRunning;
+
+  /**
+   * Notes a first token.
+   *
+   * @param waitMs time at the server beyond the request's own work
+   * @param workMs the request's own work, by estimate
+   * @param running requests of this gateway that run now
+   * @param sentMs when it was sent; what was sent before the last decrease does not show its effect
+   */
+  public synchronized void observed(
+      double waitMs, double workMs, int running, long sentMs, long nowMs) {
+    if (sentMs < decreasedMs) {
+      return;
+    }
+    if (samples == 0) {
+      windowStartMs = nowMs;
+    }
+    waitedMs += waitMs;
+    workedMs += workMs;
+    samples++;
+    mostRunning = Math.max(mostRunning, running);
+    if (nowMs - windowStartMs >= WINDOW_MS) {
+      endWindow(nowMs);
+    }
+  }
+
+  private void endWindow(long nowMs) {
+    double tolerated = TOLERATED_MS + TOLERATED_WORKS * workedMs / samples;
+    if (waitedMs / samples > tolerated) {
+      limit = Math.max(1, Math.min(limit, mostRunning) * DECREASE);
+      decreasedMs = nowMs;
+    } else if (mostRunning >= Math.floor(limit)) {
+      limit += 1;
+    }
+    waitedMs = 0;
+    workedMs = 0;
+    samples = 0;
+    mostRunning = 0;
+  }
+
+  /** Returns the limit now, {@code least} at least and {@code most} at most. */
+  public synchronized int between(int least, int most) {
+    return (int) Math.max(least, Math.min(most, limit));
+  }
+}
--- a/landingtrack/src/main/java/org/landingtrack/internal/admission/FairQueue.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/admission/FairQueue.java
@@ -50,6 +50,7 @@
   private long nextOrder;
   private int running;
   private double holdMs = FIRST_HOLD_MS;
+  private double firstTokenMs;
 
   private enum State {
     WAITING,
@@ -97,7 +98,7 @@
     Waiter waiter = enqueue(team, weight, deadlineMs);
     admitNext();
     while (waiter.state == State.WAITING) {
-      long leftMs = deadlineMs - ticker.millis();
+      long leftMs = (long) (deadlineMs - ticker.millis() - firstTokenMs);
       if (leftMs <= 0) {
         remove(waiter);
         throw refuse("no backend server became free before the deadline");
@@ -112,7 +113,7 @@
 
   private Waiter enqueue(String team, double weight, long deadlineMs) {
     double expectedMs = expectedWaitMs(waiting.size() + 1);
-    if (expectedMs > deadlineMs - ticker.millis()) {
+    if (expectedMs + firstTokenMs > deadlineMs - ticker.millis()) {
       throw refuse("the expected wait is longer than the deadline");
     }
     if (waiting.size() >= maxWaiting && !evictFor(team, weight)) {
@@ -185,6 +186,11 @@
     admitNext();
   }
 
+  /** Notes how long an admitted request took to its first token. */
+  public synchronized void firstTokenAfter(double ms) {
+    firstTokenMs += SMOOTHING * (ms - firstTokenMs);
+  }
+
   private double expectedWaitMs(int position) {
     return position * holdMs / Math.max(1, slots.getAsInt());
   }
--- a/landingtrack/src/main/java/org/landingtrack/internal/dispatch/ModelRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/dispatch/ModelRun.java
@@ -33,6 +33,7 @@
 import org.landingtrack.internal.catalog.WeightVersion;
 import org.landingtrack.internal.engine.CompletionCall;
 import org.landingtrack.internal.engine.CompletionOutcome;
+import org.landingtrack.internal.engine.KeptImport;
 import org.landingtrack.internal.engine.TokenSink;
 import org.landingtrack.internal.explain.Trace;
 import org.landingtrack.internal.kept.LinkBudget;
@@ -54,6 +55,10 @@
 final class ModelRun implements TokenSink {
   private static final long IDLE_MS = 10_000;
   private static final double RESTORE_FIXED_MS = 3;
+
+  /** An engine keeps restored blocks so long for the request that they were restored for. */
+  private static final long MAX_PIN_MS = 5_000;
+
   private static final int MAX_ATTEMPTS = 6;
   private static final int MAX_WEIGHT_REFUSALS = 64;
   private static final int DEFAULT_KV_BYTES_PER_TOKEN = 1_000;
@@ -76,8 +81,8 @@
   private int weightRefusals;
   private @Nullable ServerState current;
   private long currentTokens;
+  private long sentTokens;
   private long sentMs;
-  private long queuedAheadTokens;
 
   ModelRun(ModelDispatcher parts, ModelRequest request, TokenSink caller, Trace trace) {
     this.parts = parts;
@@ -169,6 +174,7 @@
           "no backend server of " + request.serviceName() + " can take the request now");
     }
     explain(decision, version);
+    refuseIfHopeless(chosen.get());
     Optional<ServerState> state = parts.servers.find(chosen.get().server());
     if (state.isEmpty()) {
       throw new LandingtrackException(
@@ -177,6 +183,29 @@
     return new Route(state.get(), chosen.get(), version, chain);
   }
 
+  /**
+   * Work that cannot bring its first token in time would only take others' time; and while others
+   * wait, work that delays them by more than this request's own time is better done later.
+   */
+  private void refuseIfHopeless(RouteOption best) {
+    long leftMs = request.deadlineMs() - parts.ticker.millis();
+    if (delivered > 0) {
+      return;
+    }
+    boolean isLate = best.ttftMs() > leftMs && best.queueMs() * 2 > leftMs;
+    if (isLate) {
+      throw overloaded("no backend server can start it before the deadline", best.queueMs());
+    }
+    if (best.othersMs() > leftMs) {
+      throw overloaded("its work would delay those that wait for too long", best.ttftMs());
+    }
+  }
+
+  private static LandingtrackException overloaded(String why, double backInMs) {
+    int retryAfterS = (int) Math.max(1, Math.ceil(backInMs / 1_000));
+    return new LandingtrackException(ErrorKind.OVERLOADED, why, retryAfterS);
+  }
+
   private void explain(RouteDecision decision, String version) {
     int shown = 0;
     for (RouteOption option : decision.options()) {
@@ -219,7 +248,11 @@
     long budget = gate.links().available(linkRate());
     RouteQuery.Links links =
         new RouteQuery.Links(
-            gate.links().bytesPerMs(), budget, kvBytesPerToken(catalog, version), RESTORE_FIXED_MS);
+            gate.links().bytesPerMs(),
+            budget,
+            gate.links().scarcity(linkRate()),
+            kvBytesPerToken(catalog, version),
+            RESTORE_FIXED_MS);
     RouteQuery.Weights weights =
         new RouteQuery.Weights(
             service.weightTtft(), service.weightRecompute(), service.weightLink());
@@ -229,6 +262,7 @@
         parts.holders.holders(request.serviceName(), chain),
         weights,
         links,
+        parts.gates.pressure(gate, views.size()),
         parts.dataCentre,
         parts.ticker.millis());
   }
@@ -259,7 +293,7 @@
     ServerState state = route.state();
     String address = state.server().spec().address();
     currentTokens = route.option().recomputedTokens();
-    queuedAheadTokens = state.view(parts.ticker.millis()).pendingTokens();
+    sentTokens = currentTokens;
     state.sent(currentTokens);
     current = state;
     try {
@@ -307,9 +341,11 @@
     long began = parts.ticker.millis();
     List<String> keys = route.chain().keys().subList(0, option.reusedBlocks());
     long timeoutMs = Math.max(50, (long) (4 * option.restoreMs()));
+    String from = store.get().server().spec().address();
+    long pinMs = Math.min(MAX_PIN_MS, Math.max(1, request.deadlineMs() - began));
     long moved =
         parts.client.importKept(
-            address, store.get().server().spec().address(), option.kept(), keys, timeoutMs);
+            address, new KeptImport(from, option.kept(), keys, pinMs, timeoutMs));
     long tookMs = Math.max(1, parts.ticker.millis() - began);
     if (moved == 0) {
       links.failed();
@@ -350,6 +386,7 @@
     }
     if (outcome instanceof CompletionOutcome.TooLate late) {
       state.failed(now);
+      learnWait(state, now);
       throw new LandingtrackException(
           late.ran() ? ErrorKind.DEADLINE_IN_RUN : ErrorKind.DEADLINE_BEFORE_RUN,
           "no first token came from " + name + " before the deadline");
@@ -396,7 +433,8 @@
       ttftMs = now - startMs;
       if (current != null) {
         current.prefillEnded(currentTokens);
-        current.observed((double) (now - sentMs), currentTokens + queuedAheadTokens);
+        learnWait(current, now);
+        current.observed((double) (now - sentMs), sentTokens);
         currentTokens = 0;
       }
     }
@@ -404,6 +442,14 @@
     delivered = offset + 1;
   }
 
+  /** Learns what requests wait at servers, from a first token or from waiting for it in vain. */
+  private void learnWait(ServerState server, long now) {
+    double elapsedMs = now - sentMs;
+    double workMs = Math.min(elapsedMs, sentTokens * server.msPerToken());
+    gate.limit().observed(elapsedMs - workMs, workMs, gate.queue().running(), sentMs, now);
+    gate.queue().firstTokenAfter(elapsedMs);
+  }
+
   @Override
   public void load(LoadReport report) {
     if (current != null) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/dispatch/ServiceGates.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/dispatch/ServiceGates.java
@@ -15,9 +15,12 @@
  */
 package org.landingtrack.internal.dispatch;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
+import org.landingtrack.internal.admission.ConcurrencyLimit;
 import org.landingtrack.internal.admission.FairQueue;
 import org.landingtrack.internal.base.Ticker;
 import org.landingtrack.internal.catalog.Catalog;
@@ -44,7 +47,12 @@
   }
 
   /** What belongs to one service. */
-  public record Gate(FairQueue queue, RetryBudget retries, LinkBudget links, int maxQueue) {}
+  public record Gate(
+      FairQueue queue,
+      ConcurrencyLimit limit,
+      RetryBudget retries,
+      LinkBudget links,
+      int maxQueue) {}
 
   /** Sets how many gateways share the services. */
   public void sharedBy(int liveGateways) {
@@ -56,6 +64,14 @@
     return gateways;
   }
 
+  /**
+   * Returns how many requests of a gate wait for each backend server's worth of this gateway's
+   * share: each millisecond of work at a server delays so many requests by as much.
+   */
+  public double pressure(Gate gate, int servers) {
+    return servers == 0 ? 0 : (double) gate.queue().waiting() * gateways / servers;
+  }
+
   /** Returns the gate of a service. */
   public Gate gate(String name, Service service) {
     return gates.compute(
@@ -63,20 +79,45 @@
         (n, known) ->
             known != null && known.maxQueue == service.maxQueue()
                 ? known
-                : new Gate(
-                    new FairQueue(ticker, () -> slots(name), service.maxQueue()),
-                    new RetryBudget(),
-                    new LinkBudget(ticker),
-                    service.maxQueue()));
+                : newGate(name, service.maxQueue()));
+  }
+
+  private Gate newGate(String name, int maxQueue) {
+    ConcurrencyLimit limit = new ConcurrencyLimit();
+    return new Gate(
+        new FairQueue(ticker, () -> slots(name, limit), maxQueue),
+        limit,
+        new RetryBudget(),
+        new LinkBudget(ticker),
+        maxQueue);
+  }
+
+  /** What a service's gate holds now. */
+  public record State(String service, int running, int waiting, int limit) {}
+
+  /** Returns the state of every gate. */
+  public List<State> state() {
+    List<State> states = new ArrayList<>();
+    gates.forEach(
+        (name, gate) ->
+            states.add(
+                new State(
+                    name, gate.queue.running(), gate.queue.waiting(), slots(name, gate.limit))));
+    return states;
   }
 
-  private int slots(String service) {
+  /** At least one request for each server's worth of this gateway's share, at most all places. */
+  private int slots(String service, ConcurrencyLimit limit) {
     double places = 0;
+    int servers = 0;
     for (NamedBackendServer server : catalog.get().servers(service)) {
       if (!server.spec().draining()) {
         places += server.spec().maxConcurrent();
+        servers++;
       }
     }
-    return (int) Math.max(1, Math.ceil(places * OVERCOMMIT / gateways));
+    int most = (int) Math.max(1, Math.ceil(places * OVERCOMMIT / gateways));
+    int least = Math.max(1, servers / gateways);
+    return limit.between(Math.min(least, most), most);
   }
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/engine/BackendClient.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/engine/BackendClient.java
@@ -15,8 +15,6 @@
  */
 package org.landingtrack.internal.engine;
 
-import java.util.List;
-
 /**
  * Calls to backend servers. Every call makes one attempt and never repeats by itself; the outcome
  * says whether anything ran. Implementations are thread-safe.
@@ -32,8 +30,7 @@
   Cancelled cancel(String address, String attempt);
 
   /** Makes an engine import kept state; returns the bytes that were moved. */
-  long importKept(
-      String address, String storeAddress, String manifest, List<String> keys, long timeoutMs);
+  long importKept(String address, KeptImport order);
 
   /** Calls a plain service. */
   PlainOutcome plain(String address, PlainCall call);
--- a/landingtrack/src/main/java/org/landingtrack/internal/engine/HttpBackendClient.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/engine/HttpBackendClient.java
@@ -18,7 +18,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
-import java.util.List;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
@@ -207,12 +206,12 @@
   }
 
   @Override
-  public long importKept(
-      String address, String storeAddress, String manifest, List<String> keys, long timeoutMs) {
+  public long importKept(String address, KeptImport order) {
     ObjectNode body = Json.LENIENT.createObjectNode();
-    body.put("store", storeAddress);
-    body.put("manifest", manifest);
-    keys.forEach(body.putArray("keys")::add);
+    body.put("store", order.store());
+    body.put("manifest", order.manifest());
+    body.put("pin_ms", order.pinMs());
+    order.keys().forEach(body.putArray("keys")::add);
     Request request =
         new Request.Builder()
             .url("http://" + address + "/v1/kv/import")
@@ -221,8 +220,8 @@
     OkHttpClient own =
         client
             .newBuilder()
-            .readTimeout(timeoutMs, TimeUnit.MILLISECONDS)
-            .callTimeout(timeoutMs, TimeUnit.MILLISECONDS)
+            .readTimeout(order.timeoutMs(), TimeUnit.MILLISECONDS)
+            .callTimeout(order.timeoutMs(), TimeUnit.MILLISECONDS)
             .build();
     try (Response response = own.newCall(request).execute()) {
       if (!response.isSuccessful()) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/gateway/GatewayProcess.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/gateway/GatewayProcess.java
@@ -16,9 +16,11 @@
 package org.landingtrack.internal.gateway;
 
 import io.javalin.Javalin;
+import io.prometheus.metrics.core.metrics.Gauge;
 import java.util.concurrent.CountDownLatch;
 import org.landingtrack.internal.base.Duty;
 import org.landingtrack.internal.base.HttpServers;
+import org.landingtrack.internal.dispatch.ServiceGates;
 import org.landingtrack.internal.settings.GatewaySettings;
 import org.landingtrack.internal.wiring.ProcessModule;
 import org.slf4j.Logger;
@@ -33,6 +35,9 @@
   private final GatewayComponent parts;
   private final Duty shares = Duty.start("shares", 4);
   private final Javalin http;
+  private final Gauge running;
+  private final Gauge waiting;
+  private final Gauge limits;
   private final CountDownLatch stopped = new CountDownLatch(1);
 
   private GatewayProcess(GatewaySettings settings, GatewayComponent parts) {
@@ -54,6 +59,9 @@
             "landingtrack_leaving_servers",
             "Backend servers that the VM list says are leaving.",
             () -> parts.servers().leavingCount());
+    this.running = serviceGauge("running", "Requests of a service that run.");
+    this.waiting = serviceGauge("waiting", "Requests of a service that wait for their turn.");
+    this.limits = serviceGauge("limit", "Requests of a service that may run at once.");
     this.http =
         HttpServers.start(
             settings.callersHost(),
@@ -65,6 +73,10 @@
             parts.callerApi()::addRoutes);
   }
 
+  private Gauge serviceGauge(String name, String help) {
+    return parts.metrics().gauge("landingtrack_service_" + name, help, "service");
+  }
+
   /** Starts a gateway; it runs until it is closed. */
   public static GatewayProcess start(GatewaySettings settings) {
     GatewayComponent parts =
@@ -84,10 +96,17 @@
     int gateways = Math.max(1, parts.link().controllers().size());
     parts.limiter().sharedBy(gateways);
     parts.gates().sharedBy(gateways);
+    parts.gates().state().forEach(this::report);
     parts.servers().leaving(parts.link().leaving());
     parts.servers().retain(parts.replica().catalog());
   }
 
+  private void report(ServiceGates.State state) {
+    running.labelValues(state.service()).set(state.running());
+    waiting.labelValues(state.service()).set(state.waiting());
+    limits.labelValues(state.service()).set(state.limit());
+  }
+
   /** Returns the callers' port. */
   public int port() {
     return http.port();
--- a/landingtrack/src/main/java/org/landingtrack/internal/kept/LinkBudget.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/kept/LinkBudget.java
@@ -44,6 +44,13 @@
     return (long) Math.max(0, bytes);
   }
 
+  /** Returns the share of the budget that is used up, 0 to 1, at a rate of so many a second. */
+  public synchronized double scarcity(double bytesPerSecond) {
+    refill(bytesPerSecond);
+    double full = bytesPerSecond * BURST_SECONDS;
+    return full <= 0 ? 1 : Math.min(1, Math.max(0, 1 - bytes / full));
+  }
+
   /**
    * Takes bytes if they are there; a move that is larger than the burst waits for a full budget.
    */
--- a/landingtrack/src/main/java/org/landingtrack/internal/routing/BaselinePolicies.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/routing/BaselinePolicies.java
@@ -80,7 +80,7 @@
   private static RouteDecision decision(RouteQuery query, List<ServerView> ordered) {
     List<RouteOption> options = new ArrayList<>();
     for (ServerView server : ordered) {
-      options.add(CostModel.option(query, server, Reuse.local(0)));
+      options.add(CostModel.option(query, server, Reuse.local(0), 0));
     }
     return new RouteDecision(options, List.of());
   }
--- a/landingtrack/src/main/java/org/landingtrack/internal/routing/CostModel.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/routing/CostModel.java
@@ -33,6 +33,9 @@
   /** Assumed time until a full batch frees one place. */
   private static final double SLOT_WAIT_MS = 200;
 
+  /** Bounds the price of a link whose budget is used up, to twenty times its time. */
+  private static final double MIN_BUDGET_SHARE = 0.05;
+
   private CostModel() {}
 
   /** What the option reuses: by the server itself, and by a restore on top of it. */
@@ -42,7 +45,12 @@
     }
   }
 
-  static RouteOption option(RouteQuery query, ServerView server, Reuse reuse) {
+  /**
+   * Estimates one way.
+   *
+   * @param evictedBlocks blocks of other prompts that the server gives up for this one's
+   */
+  static RouteOption option(RouteQuery query, ServerView server, Reuse reuse, int evictedBlocks) {
     PrefixChain chain = query.chain();
     Links links = query.links();
     double networkMs =
@@ -53,9 +61,10 @@
     long bytes = (long) reuse.restoreBlocks() * blockBytes(links);
     double restoreMs = bytes == 0 ? 0 : links.fixedMs() + bytes / links.bytesPerMs();
     double ttftMs = networkMs + queueMs + restoreMs + prefillMs;
+    double othersMs = othersMs(query, prefillMs, restoreMs, evictedBlocks);
     Weights weights = query.weights();
     double cost =
-        weights.ttftMs() * ttftMs
+        weights.ttftMs() * (ttftMs + othersMs)
             + weights.recomputedToken() * tokens
             + weights.linkMegabyte() * bytes / 1e6;
     return new RouteOption(
@@ -70,10 +79,26 @@
         prefillMs,
         tokens,
         bytes,
+        othersMs,
         ttftMs,
         cost);
   }
 
+  /**
+   * What a way costs other requests: those that wait are delayed by the work itself; the prompts
+   * that are evicted must be restored when they return, by work that delays in its turn; and a link
+   * that is nearly used up will soon make others compute.
+   */
+  private static double othersMs(
+      RouteQuery query, double prefillMs, double restoreMs, int evictedBlocks) {
+    Links links = query.links();
+    double evictionMs = evictedBlocks * blockBytes(links) / links.bytesPerMs();
+    double scarcity = 1 / (1 - links.scarcity() + MIN_BUDGET_SHARE) - 1;
+    return query.pressure() * prefillMs
+        + (1 + query.pressure()) * evictionMs
+        + Math.max(0, scarcity) * (restoreMs + evictionMs);
+  }
+
   static long blockBytes(Links links) {
     return (long) links.kvBytesPerToken() * PrefixChain.BLOCK_TOKENS;
   }
--- a/landingtrack/src/main/java/org/landingtrack/internal/routing/CostPolicy.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/routing/CostPolicy.java
@@ -55,15 +55,18 @@
     List<String> rejected = new ArrayList<>();
     Map<String, Integer> heldDepth = heldDepths(query);
     Holder kept = bestKept(query);
+    ServerView[] hashed = hashed(query);
     List<RouteOption> options = new ArrayList<>();
-    for (ServerView server : candidates(query, heldDepth)) {
+    for (ServerView server : candidates(query, heldDepth, hashed)) {
       if (!server.isUsable()) {
         rejected.add(server.name() + ": ejected after failures.");
         continue;
       }
       int held = heldDepth.getOrDefault(server.name(), 0);
-      options.add(CostModel.option(query, server, Reuse.local(held)));
-      addRestore(query, server, held, kept, options, rejected);
+      // A prompt's first server by rendezvous is where it belongs; a copy elsewhere displaces.
+      int evicted = server == hashed[0] ? 0 : query.chain().depth() - held;
+      options.add(CostModel.option(query, server, Reuse.local(held), evicted));
+      addRestore(query, server, held, evicted, kept, options, rejected);
     }
     sort(options, query);
     return new RouteDecision(options, rejected);
@@ -93,6 +96,7 @@
       RouteQuery query,
       ServerView server,
       int held,
+      int evicted,
       Holder kept,
       List<RouteOption> options,
       List<String> rejected) {
@@ -106,23 +110,31 @@
       return;
     }
     Reuse reuse = new Reuse(kept.depth(), kept.server(), kept.kept(), missing);
-    options.add(CostModel.option(query, server, reuse));
+    options.add(CostModel.option(query, server, reuse, evicted));
   }
 
-  private List<ServerView> candidates(RouteQuery query, Map<String, Integer> heldDepth) {
+  /** Returns the first servers by rendezvous of the prompt's first block. */
+  private static ServerView[] hashed(RouteQuery query) {
+    long group = Hashes.placement(query.chain().group());
+    ServerView[] hashed = new ServerView[HASHED];
+    long[] weights = new long[HASHED];
+    for (ServerView server : query.servers()) {
+      insert(hashed, weights, server, Hashes.weight(group, server.nameHash()));
+    }
+    return hashed;
+  }
+
+  private List<ServerView> candidates(
+      RouteQuery query, Map<String, Integer> heldDepth, ServerView[] hashed) {
     List<ServerView> servers = query.servers();
     if (servers.size() <= CONSIDER_ALL) {
       return servers;
     }
     Map<String, ServerView> chosen = new LinkedHashMap<>();
-    long group = Hashes.placement(query.chain().group());
-    ServerView[] hashed = new ServerView[HASHED];
-    long[] weights = new long[HASHED];
     for (ServerView server : servers) {
       if (heldDepth.containsKey(server.name())) {
         chosen.put(server.name(), server);
       }
-      insert(hashed, weights, server, Hashes.weight(group, server.nameHash()));
     }
     for (ServerView server : hashed) {
       chosen.put(server.name(), server);
--- a/landingtrack/src/main/java/org/landingtrack/internal/routing/RouteOption.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/routing/RouteOption.java
@@ -24,6 +24,7 @@
  * @param restoreFrom store VM to restore from; empty for none
  * @param kept manifest to restore
  * @param restoreBlocks blocks of the manifest that are wanted
+ * @param othersMs delay of other requests by the work, the eviction and the link's use of this one
  * @param ttftMs estimated time to first token
  * @param cost weighted sum; the lowest wins
  */
@@ -39,6 +40,7 @@
     double prefillMs,
     int recomputedTokens,
     long linkBytes,
+    double othersMs,
     double ttftMs,
     double cost) {
 
@@ -61,7 +63,7 @@
     return String.format(
         Locale.ROOT,
         "%s: cost %.1f (network %.1f ms, queue %.1f ms%s, compute of %d tokens %.1f ms, reuse of"
-            + " %d blocks, %d bytes moved).",
+            + " %d blocks, %d bytes moved, delay of others %.1f ms).",
         server,
         cost,
         networkMs,
@@ -70,6 +72,7 @@
         recomputedTokens,
         prefillMs,
         reusedBlocks,
-        linkBytes);
+        linkBytes,
+        othersMs);
   }
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/routing/RouteQuery.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/routing/RouteQuery.java
@@ -27,6 +27,8 @@
  * @param holders what is known about who holds the prompt's blocks, engines and store VMs
  * @param weights what the service weighs
  * @param links what moving kept state costs now
+ * @param pressure requests that each millisecond of a server's work delays by as much; 0 when
+ *     nobody waits
  * @param dataCentre the gateway's own
  * @param nowMs monotonic time
  */
@@ -36,6 +38,7 @@
     List<Holder> holders,
     Weights weights,
     Links links,
+    double pressure,
     String dataCentre,
     long nowMs) {
 
@@ -47,8 +50,10 @@
    *
    * @param bytesPerMs observed speed of a restore
    * @param budgetBytes bytes that may be moved now
+   * @param scarcity share of the budget that is used up, 0 to 1
    * @param kvBytesPerToken size of a token's state
    * @param fixedMs time of a restore of no bytes
    */
-  public record Links(double bytesPerMs, long budgetBytes, int kvBytesPerToken, double fixedMs) {}
+  public record Links(
+      double bytesPerMs, long budgetBytes, double scarcity, int kvBytesPerToken, double fixedMs) {}
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/routing/ServerState.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/routing/ServerState.java
@@ -31,7 +31,11 @@
   private static final long LEAVING_MS = 60_000;
   private static final long WARM_UP_MS = 10_000;
   private static final double WARM_UP_SHARE = 0.25;
-  private static final double SMOOTHING = 0.2;
+  private static final double FASTER_SMOOTHING = 0.5;
+  private static final double SLOWER_FACTOR = 1.05;
+
+  /** Answers with less to compute say more about the network than about the server. */
+  private static final long MIN_TOKENS_TO_LEARN = 512;
 
   /** A server that said it has another weight version may have changed it after so long. */
   private static final long VERSION_FRESH_MS = 1_000;
@@ -124,13 +128,24 @@
     return nowMs - weightVersionAtMs >= VERSION_FRESH_MS ? HasVersion.STALE : HasVersion.NO;
   }
 
-  /** Learns the speed of the server from an answer. */
+  /**
+   * Learns the speed of the server from an answer. Other gateways' requests may have been ahead, so
+   * the speed follows the quickest answers: fast downwards, slowly upwards.
+   */
   public synchronized void observed(double elapsedMs, long tokens) {
-    if (tokens <= 0) {
+    if (tokens < MIN_TOKENS_TO_LEARN) {
       return;
     }
     double sample = elapsedMs / tokens;
-    msPerToken += SMOOTHING * (sample - msPerToken);
+    msPerToken =
+        sample < msPerToken
+            ? msPerToken + FASTER_SMOOTHING * (sample - msPerToken)
+            : Math.min(sample, msPerToken * SLOWER_FACTOR);
+  }
+
+  /** Returns the time to compute one prompt token, as learned. */
+  public synchronized double msPerToken() {
+    return msPerToken;
   }
 
   /** Notes a request that the server answered. */
--- /dev/null
+++ b/landingtrack/src/test/java/org/landingtrack/internal/admission/ConcurrencyLimitTest.java
@@ -0,0 +1,87 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.admission;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** How the limit follows what requests wait at their servers. */
+public final class ConcurrencyLimitTest {
+  private static final int LEAST = 3;
+  private static final int MOST = 40;
+  private static final double WORK_MS = 20;
+
+  private final ConcurrencyLimit limit = new ConcurrencyLimit();
+  private long now;
+
+  /** Requests run at the limit and all wait so long. */
+  private static void run(ConcurrencyLimit limit, double waitMs, int requests, long startMs) {
+    for (int i = 0; i < requests; i++) {
+      long sentMs = startMs + i * 50L;
+      long nowMs = sentMs + (long) waitMs;
+      limit.observed(waitMs, WORK_MS, limit.between(LEAST, MOST), sentMs, nowMs);
+    }
+  }
+
+  @DataProvider
+  public Object[][] waits() {
+    return new Object[][] {
+      // wait at the server, requests, least and most allowed afterwards
+      {0.0, 400, MOST, MOST},
+      {100.0, 400, MOST, MOST},
+      {2_000.0, 1_000, LEAST, LEAST},
+    };
+  }
+
+  @Test(dataProvider = "waits")
+  public void longWaitsShrinkIt(double waitMs, int requests, int least, int most) {
+    ConcurrencyLimit tested = new ConcurrencyLimit();
+    run(tested, waitMs, requests, 0);
+    int after = tested.between(LEAST, MOST);
+    assertTrue(after >= least && after <= most, "limit " + after);
+  }
+
+  @Test
+  public void itGrowsAgainOnceWaitsAreShort() {
+    ConcurrencyLimit tested = new ConcurrencyLimit();
+    run(tested, 2_000, 1_000, 0);
+    run(tested, 0, 400, 1_000_000);
+    assertEquals(tested.between(LEAST, MOST), MOST);
+  }
+
+  /** What was sent before a decrease says nothing about it; else one queue is punished twice. */
+  @Test
+  public void aDecreaseIsJudgedByWhatWasSentAfterIt() {
+    observeMany(MOST, 0, 300);
+    int once = limit.between(1, MOST);
+    assertTrue(once < MOST, "limit " + once);
+    for (int i = 0; i < 20; i++) {
+      now += 300;
+      observeMany(MOST, 0, now);
+    }
+    assertEquals(limit.between(1, MOST), once);
+  }
+
+  private void observeMany(int running, long sentMs, long nowMs) {
+    for (int i = 0; i < 10; i++) {
+      limit.observed(1_000, WORK_MS, running, sentMs, nowMs - 300);
+      limit.observed(1_000, WORK_MS, running, sentMs, nowMs);
+    }
+  }
+}
--- a/standins/src/main/java/org/landingtrack/standins/EngineServer.java
+++ b/standins/src/main/java/org/landingtrack/standins/EngineServer.java
@@ -52,6 +52,7 @@
 public final class EngineServer implements AutoCloseable {
   private static final int BYTES_PER_TOKEN = 4;
   private static final int BLOCK_TOKENS = 512;
+  private static final long ACCEPTED_PIN_MS = 5_000;
   private static final long KEEP_STREAMS_MS = 20_000;
 
   private final EngineOptions options;
@@ -172,6 +173,8 @@
     forgetOldStreams();
     List<String> keys = new ArrayList<>();
     extra.path("cache_keys").forEach(key -> keys.add(key.asText()));
+    // What an accepted request can reuse stays until it starts, however long others take.
+    cache.pin(keys, ACCEPTED_PIN_MS);
     queued.incrementAndGet();
     executor.execute(() -> run(stream, body, keys, wanted, from));
     follow(ctx, stream, from);
--- a/standins/src/main/java/org/landingtrack/standins/KvTransfer.java
+++ b/standins/src/main/java/org/landingtrack/standins/KvTransfer.java
@@ -85,6 +85,7 @@
       return -1;
     }
     cache.put(keys, weightVersion, broken(answer));
+    cache.pin(keys, order.path("pin_ms").asLong(0));
     return (long) missing.size() * blockBytes;
   }
 
