--- a/bench/src/main/java/org/landingtrack/bench/Deployment.java
+++ b/bench/src/main/java/org/landingtrack/bench/Deployment.java
@@ -24,6 +24,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -37,6 +38,7 @@
 import org.landingtrack.internal.base.Hashes;
 import org.landingtrack.internal.base.Json;
 import org.landingtrack.internal.cli.CommandLineProgram;
+import org.landingtrack.internal.tls.CertificateIssuer;
 import org.landingtrack.standins.EngineOptions;
 import org.landingtrack.standins.EngineServer;
 import org.landingtrack.standins.ObjectApiServer;
@@ -59,6 +61,7 @@
   private static final String OPERATOR_KEY = "operator";
   private static final String DATA_CENTRE = "dc-1";
   private static final long READY_S = 60;
+  private static final int CERTIFICATE_DAYS = 10;
 
   private final DeploymentPlan plan;
   private final Path folder;
@@ -97,6 +100,9 @@
   }
 
   private void startAll() {
+    if (plan.tls()) {
+      CertificateIssuer.newAuthority(folder.resolve("authority"), CERTIFICATE_DAYS);
+    }
     for (int i = 0; i < plan.engines(); i++) {
       engines.add(new EngineServer(0, plan.engine(), weightStore));
     }
@@ -161,12 +167,41 @@
     return launch("gateway", index, settings);
   }
 
-  private static ObjectNode common(String process, int index) {
+  private ObjectNode common(String process, int index) {
     ObjectNode settings = Json.LENIENT.createObjectNode();
     settings.put("process", process).put("vm", "entry-" + index).put("dataCentre", DATA_CENTRE);
+    if (plan.tls()) {
+      String own = process + "-" + index + "-tls";
+      if (!Files.exists(folder.resolve(own))) {
+        issue(own, CERTIFICATE_DAYS);
+      }
+      settings
+          .putObject("tls")
+          .put("certificate", own + "/" + CertificateIssuer.CERTIFICATE)
+          .put("privateKey", own + "/" + CertificateIssuer.PRIVATE_KEY)
+          .put("authority", own + "/" + CertificateIssuer.AUTHORITY);
+    }
     return settings;
   }
 
+  private void issue(String name, int days) {
+    CertificateIssuer.issue(
+        folder.resolve("authority"), name, List.of("127.0.0.1"), days, folder.resolve(name));
+  }
+
+  /** Replaces the certificate of a process, its parts one after another. */
+  public void renewCertificate(String process, int index, int days) throws IOException {
+    String own = process + "-" + index + "-tls";
+    String next = own + "-" + days;
+    issue(next, days);
+    for (String file : List.of(CertificateIssuer.CERTIFICATE, CertificateIssuer.PRIVATE_KEY)) {
+      Files.move(
+          folder.resolve(next).resolve(file),
+          folder.resolve(own).resolve(file),
+          StandardCopyOption.REPLACE_EXISTING);
+    }
+  }
+
   private ChildProcess launch(String process, int index, ObjectNode settings) {
     Path file = folder.resolve(process + "-" + index + ".json");
     try {
@@ -345,12 +380,26 @@
     return ctlAs(OPERATOR_KEY, controller, words);
   }
 
+  /** Returns the certificate of an authority. */
+  public Path authority(String name) {
+    return folder.resolve(name).resolve(CertificateIssuer.CERTIFICATE);
+  }
+
   /** Runs {@code ctl} with another operator's key. */
   public CtlResult ctlAs(String key, int controller, String... words) {
+    List<String> args = new ArrayList<>(List.of("--key", key));
+    if (plan.tls()) {
+      args.addAll(List.of("--ca", authority("authority").toString()));
+    }
+    args.addAll(List.of(words));
+    return ctlRaw(controller, args);
+  }
+
+  /** Runs {@code ctl} against a controller with nothing but these arguments. */
+  public CtlResult ctlRaw(int controller, List<String> arguments) {
     List<String> args = new ArrayList<>(List.of("ctl", "--controller"));
     args.add("127.0.0.1:" + controllers.get(controller).port("operators"));
-    args.addAll(List.of("--key", key));
-    args.addAll(List.of(words));
+    args.addAll(arguments);
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     PrintStream out = new PrintStream(bytes, true, StandardCharsets.UTF_8);
     int code = new CommandLineProgram(out, out).run(args.toArray(new String[0]));
--- a/bench/src/main/java/org/landingtrack/bench/DeploymentPlan.java
+++ b/bench/src/main/java/org/landingtrack/bench/DeploymentPlan.java
@@ -77,6 +77,10 @@
     return builder.probeMs;
   }
 
+  boolean tls() {
+    return builder.tls;
+  }
+
   /** Returns the key that the callers of a team show. */
   public static String teamKey(String team) {
     return "key-of-" + team;
@@ -149,6 +153,7 @@
     private String policy = "landingtrack";
     private long seed = 1;
     private long probeMs = 200;
+    private boolean tls;
     private int maxQueue = 200;
     private double weightTtft = 1;
     private double weightRecompute = 0.002;
@@ -210,6 +215,12 @@
       return this;
     }
 
+    /** Lets processes and operators talk by TLS only. */
+    public Builder setTls(boolean on) {
+      tls = on;
+      return this;
+    }
+
     /** Sets what the model service weighs, and its link budget in bytes a second. */
     public Builder setWeights(double ttft, double recompute, double link, long bytesPerSecond) {
       weightTtft = ttft;
--- /dev/null
+++ b/bench/src/test/java/org/landingtrack/bench/TlsProcessTest.java
@@ -0,0 +1,123 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.bench;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.landingtrack.bench.CallerClient.Answer;
+import org.landingtrack.bench.CallerClient.Ask;
+import org.landingtrack.internal.tls.CertificateIssuer;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** The whole path with TLS between processes and towards operators. */
+public final class TlsProcessTest {
+  private static final int RENEWED_DAYS = 20;
+
+  private Deployment deployment;
+
+  @BeforeClass
+  public void start() {
+    deployment = Deployment.start(new DeploymentPlan.Builder().setTls(true).build());
+    CertificateIssuer.newAuthority(deployment.folder().resolve("foreign"), 10);
+  }
+
+  @AfterClass(alwaysRun = true)
+  public void stop() {
+    if (deployment != null) {
+      deployment.close();
+    }
+  }
+
+  @DataProvider
+  public Object[][] operators() {
+    return new Object[][] {
+      // authority that the operator believes; empty for no TLS; exit code
+      {"authority", 0},
+      {"foreign", 1},
+      {"", 1},
+    };
+  }
+
+  @Test(dataProvider = "operators")
+  public void operatorsSeeTheRightCertificateOrNothing(String authority, int code) {
+    List<String> arguments = new ArrayList<>(List.of("--key", "operator"));
+    if (!authority.isEmpty()) {
+      arguments.addAll(List.of("--ca", deployment.authority(authority).toString()));
+    }
+    arguments.add("status");
+    Deployment.CtlResult result = deployment.ctlRaw(0, arguments);
+    assertEquals(result.code(), code, result.text());
+  }
+
+  /** Certificates are replaced one process after another while callers ask. */
+  @Test
+  public void aRenewalUnderLoadCutsNothing() throws Exception {
+    AtomicBoolean stop = new AtomicBoolean();
+    ExecutorService threads = Executors.newCachedThreadPool();
+    List<Future<Integer>> callers = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      int caller = i;
+      callers.add(threads.submit(() -> callUntil(caller, stop)));
+    }
+    double before = expiry(deployment.controllerUrl(0));
+    for (int i = 0; i < 2; i++) {
+      deployment.renewCertificate("controller", i, RENEWED_DAYS);
+      deployment.renewCertificate("gateway", i, RENEWED_DAYS);
+    }
+    for (int i = 0; i < 2; i++) {
+      String controller = deployment.controllerUrl(i);
+      String gateway = deployment.gatewayUrl(i);
+      Deployment.await("renewed", () -> expiry(controller) > before && expiry(gateway) > before);
+    }
+    deployment.restartController(1);
+    assertEquals(deployment.ctl(0, "drain", "engine-0").code(), 0);
+    deployment.awaitInForce(0);
+    stop.set(true);
+    int answered = 0;
+    for (Future<Integer> caller : callers) {
+      answered += caller.get(60, TimeUnit.SECONDS);
+    }
+    threads.shutdownNow();
+    assertTrue(answered > 0);
+  }
+
+  private double expiry(String url) {
+    return deployment.metric(url, "certificate_expires_seconds");
+  }
+
+  private int callUntil(int caller, AtomicBoolean stop) {
+    CallerClient client = Calls.client();
+    int answered = 0;
+    while (!stop.get()) {
+      Ask ask = Calls.ask(Calls.TEAM, "short", "tls " + caller + " " + answered, 4);
+      Answer answer = client.ask(deployment.gatewayUrl(caller % 2), ask);
+      assertTrue(answer.whole(), answer.toString());
+      answered++;
+    }
+    return answered;
+  }
+}
--- a/landingtrack/src/main/java/org/landingtrack/internal/routing/CostPolicy.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/routing/CostPolicy.java
@@ -56,6 +56,7 @@
     Map<String, Integer> heldDepth = heldDepths(query);
     Holder kept = bestKept(query);
     ServerView[] hashed = hashed(query);
+    String home = query.servers().isEmpty() ? "" : hashed[0].name();
     List<RouteOption> options = new ArrayList<>();
     for (ServerView server : candidates(query, heldDepth, hashed)) {
       if (!server.isUsable()) {
@@ -64,7 +65,7 @@
       }
       int held = heldDepth.getOrDefault(server.name(), 0);
       // A prompt's first server by rendezvous is where it belongs; a copy elsewhere displaces.
-      int evicted = server == hashed[0] ? 0 : query.chain().depth() - held;
+      int evicted = server.name().equals(home) ? 0 : query.chain().depth() - held;
       options.add(CostModel.option(query, server, Reuse.local(held), evicted));
       addRestore(query, server, held, evicted, kept, options, rejected);
     }
