Teams' limits follow their traffic: owners lend idle shares; all data centres count

Cause: every gateway had limit / gateways of a team, so a team whose callers come through few VMs got less than its limit (one busy gateway of four: 50 of 200 a second); and gateways counted only their own data centre's, so that with three data centres a team could have three times its limit. Ways weighed: a counter in the Object API (100 writes/s); every gateway telling every other (grows with the fleet); lending by each team's owner (rendezvous over all controllers), reported only while a gateway wants more than half an equal share, so that quiet teams cost nothing. Chosen: the last. Not shown: over processes; the sum may pass by one equal share while a report of new traffic is on its way (0.5 s).

--- a/landingtrack/src/main/java/org/landingtrack/internal/admission/TeamLimiter.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/admission/TeamLimiter.java
@@ -15,6 +15,8 @@
  */
 package org.landingtrack.internal.admission;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import org.landingtrack.ErrorKind;
@@ -23,26 +25,44 @@
 import org.landingtrack.internal.catalog.Team;
 
 /**
- * Holds each team to its rate and its concurrency. A gateway takes its share of the team's limits;
- * shares are whole limits divided by the live gateways unless the team's owner says otherwise, so
- * that their sum never passes the limit. Thread-safe.
+ * Holds each team to its rate and its concurrency. A gateway takes its share of the team's limits:
+ * what the team's owner granted, else an equal one, so that the sum over all gateways keeps to the
+ * limit. Thread-safe.
  */
 public final class TeamLimiter {
+  /** Teams of which less than this part of an equal share is used are not reported. */
+  private static final double REPORTED_PART = 0.5;
+
   private final Ticker ticker;
   private final Map<String, State> states = new ConcurrentHashMap<>();
   private volatile int gateways = 1;
+  private long reportedMs;
+
+  /**
+   * What this gateway wants of a team's limit.
+   *
+   * @param wanted share of the limit, 0 to 1
+   */
+  public record Demand(String team, double wanted) {}
 
   private static final class State {
+    private Team team;
     private TokenBucket bucket;
     private int inFlight;
+    private int asked;
+    private int mostInFlight;
+    private double granted;
+    private long grantedUntilMs = Long.MIN_VALUE;
 
-    State(TokenBucket bucket) {
+    State(Team team, TokenBucket bucket) {
+      this.team = team;
       this.bucket = bucket;
     }
   }
 
   public TeamLimiter(Ticker ticker) {
     this.ticker = ticker;
+    this.reportedMs = ticker.millis();
   }
 
   /** Sets how many gateways share the limits. */
@@ -52,18 +72,21 @@
 
   /** Lets a request of a team in, or refuses it; after success {@link #leave} must follow. */
   public void enter(String name, Team team) {
-    double rate = team.requestsPerSecond() / gateways;
-    double burst = Math.max(1, (double) team.burst() / gateways);
-    int concurrency = Math.max(1, team.concurrency() / gateways);
-    State state =
-        states.computeIfAbsent(name, n -> new State(new TokenBucket(burst, ticker.millis())));
+    long now = ticker.millis();
+    State state = states.computeIfAbsent(name, n -> newState(team, now));
     synchronized (state) {
+      state.team = team;
+      state.asked++;
+      state.mostInFlight = Math.max(state.mostInFlight, state.inFlight + 1);
+      double share = share(state, now);
+      int concurrency = (int) Math.max(1, team.concurrency() * share);
       if (state.inFlight >= concurrency) {
         throw new LandingtrackException(
             ErrorKind.RATE_LIMITED,
             "team " + name + " has " + state.inFlight + " requests in flight, its share here");
       }
-      long waitMs = state.bucket.take(rate, burst, ticker.millis());
+      double burst = Math.max(1, team.burst() * share);
+      long waitMs = state.bucket.take(team.requestsPerSecond() * share, burst, now);
       if (waitMs > 0) {
         throw new LandingtrackException(
             ErrorKind.RATE_LIMITED,
@@ -74,6 +97,14 @@
     }
   }
 
+  private State newState(Team team, long now) {
+    return new State(team, new TokenBucket(Math.max(1, (double) team.burst() / gateways), now));
+  }
+
+  private double share(State state, long now) {
+    return now < state.grantedUntilMs ? state.granted : 1.0 / gateways;
+  }
+
   /** Notes that a request of a team ended. */
   public void leave(String name) {
     State state = states.get(name);
@@ -84,4 +115,42 @@
       state.inFlight--;
     }
   }
+
+  /** Returns what is wanted since the last call, of the teams that are near their share. */
+  public synchronized List<Demand> demands() {
+    long now = ticker.millis();
+    double seconds = Math.max(1, now - reportedMs) / 1000.0;
+    reportedMs = now;
+    List<Demand> demands = new ArrayList<>();
+    states.forEach(
+        (name, state) -> {
+          double wanted = takeWanted(state, seconds);
+          if (wanted >= REPORTED_PART / gateways) {
+            demands.add(new Demand(name, Math.min(1, wanted)));
+          }
+        });
+    return demands;
+  }
+
+  private static double takeWanted(State state, double seconds) {
+    synchronized (state) {
+      double ofRate = state.asked / seconds / Math.max(1e-9, state.team.requestsPerSecond());
+      double ofConcurrency = (double) state.mostInFlight / Math.max(1, state.team.concurrency());
+      state.asked = 0;
+      state.mostInFlight = state.inFlight;
+      return Math.max(ofRate, ofConcurrency);
+    }
+  }
+
+  /** Takes a share that the team's owner granted; it holds until the owner's memory of it ends. */
+  public void granted(String name, double share) {
+    State state = states.get(name);
+    if (state == null) {
+      return;
+    }
+    synchronized (state) {
+      state.granted = share;
+      state.grantedUntilMs = ticker.millis() + ShareBook.VALID_MS;
+    }
+  }
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/controller/ControllerModule.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/controller/ControllerModule.java
@@ -210,8 +210,9 @@
       ClaimShards claims,
       Explainer explainer,
       Gateways gateways,
-      LeavingServers leaving) {
+      LeavingServers leaving,
+      Ticker ticker) {
     return new PeerRoutes(
-        replica, membership, directory, kept, claims, explainer, gateways, leaving);
+        replica, membership, directory, kept, claims, explainer, gateways, leaving, ticker);
   }
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/controller/PeerRoutes.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/controller/PeerRoutes.java
@@ -20,6 +20,8 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.landingtrack.internal.admission.ShareBook;
+import org.landingtrack.internal.base.Ticker;
 import org.landingtrack.internal.claim.ClaimShard.Outcome;
 import org.landingtrack.internal.claim.ClaimShard.Verdict;
 import org.landingtrack.internal.claim.ClaimShards;
@@ -50,6 +52,8 @@
 import org.landingtrack.internal.peer.Messages.MembersQuery;
 import org.landingtrack.internal.peer.Messages.RevisionAnswer;
 import org.landingtrack.internal.peer.Messages.RevisionQuery;
+import org.landingtrack.internal.peer.Messages.ShareAnswer;
+import org.landingtrack.internal.peer.Messages.ShareQuery;
 import org.landingtrack.internal.peer.Messages.Taken;
 import org.landingtrack.internal.peer.PeerServer;
 
@@ -68,6 +72,8 @@
   private final Explainer explainer;
   private final Gateways gateways;
   private final LeavingServers leaving;
+  private final Ticker ticker;
+  private final ShareBook shareBook = new ShareBook();
 
   PeerRoutes(
       ConfigReplica replica,
@@ -77,7 +83,8 @@
       ClaimShards claims,
       Explainer explainer,
       Gateways gateways,
-      LeavingServers leaving) {
+      LeavingServers leaving,
+      Ticker ticker) {
     this.replica = replica;
     this.membership = membership;
     this.directory = directory;
@@ -86,6 +93,7 @@
     this.explainer = explainer;
     this.gateways = gateways;
     this.leaving = leaving;
+    this.ticker = ticker;
   }
 
   void addTo(PeerServer server) {
@@ -98,6 +106,7 @@
     server.on(FactsReset.class, this::reset);
     server.on(ClaimQuery.class, this::claim);
     server.on(ClaimRelease.class, this::release);
+    server.on(ShareQuery.class, this::shares);
     server.on(Explained.class, this::explained);
     server.on(ExplainQuery.class, query -> new ExplainAnswer(explainer.explain(query.requestId())));
   }
@@ -167,6 +176,18 @@
     return new Taken();
   }
 
+  /** Every entry VM has one gateway and one controller, so the members count the gateways. */
+  private ShareAnswer shares(ShareQuery query) {
+    int live = membership.usable().size();
+    long now = ticker.millis();
+    List<Double> shares = new ArrayList<>();
+    for (int i = 0; i < query.teams().size(); i++) {
+      double wanted = query.wanted().get(i);
+      shares.add(shareBook.report(query.teams().get(i), query.gateway(), wanted, live, now));
+    }
+    return new ShareAnswer(shares);
+  }
+
   private Taken explained(Explained explained) {
     explained.explanations().forEach(explainer::keep);
     return new Taken();
--- a/landingtrack/src/main/java/org/landingtrack/internal/gateway/ControllerLink.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/gateway/ControllerLink.java
@@ -186,6 +186,11 @@
     return leaving;
   }
 
+  /** Returns the live controllers of all data centres. */
+  public List<MemberInfo> allControllers() {
+    return controllers;
+  }
+
   /** Returns the controllers that own a key, the owner first. */
   public List<MemberInfo> ownersOf(String key) {
     return Hashes.rendezvous(key, controllers(), MemberInfo::vm);
--- a/landingtrack/src/main/java/org/landingtrack/internal/gateway/GatewayProcess.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/gateway/GatewayProcess.java
@@ -17,10 +17,12 @@
 
 import io.javalin.Javalin;
 import io.prometheus.metrics.core.metrics.Gauge;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import org.landingtrack.internal.base.Duty;
 import org.landingtrack.internal.base.HttpServers;
 import org.landingtrack.internal.dispatch.ServiceGates;
+import org.landingtrack.internal.peer.Messages.MemberInfo;
 import org.landingtrack.internal.settings.GatewaySettings;
 import org.landingtrack.internal.wiring.ProcessModule;
 import org.slf4j.Logger;
@@ -35,6 +37,7 @@
   private final GatewayComponent parts;
   private final Duty shares = Duty.start("shares", 4);
   private final Javalin http;
+  private final TeamShares teamShares;
   private final Gauge running;
   private final Gauge waiting;
   private final Gauge limits;
@@ -59,6 +62,7 @@
             "landingtrack_leaving_servers",
             "Backend servers that the VM list says are leaving.",
             () -> parts.servers().leavingCount());
+    this.teamShares = new TeamShares(settings.vm(), parts.limiter(), parts.peers());
     this.running = serviceGauge("running", "Requests of a service that run.");
     this.waiting = serviceGauge("waiting", "Requests of a service that wait for their turn.");
     this.limits = serviceGauge("limit", "Requests of a service that may run at once.");
@@ -93,9 +97,9 @@
 
   /** Every entry VM has one gateway and one controller, so the controllers count the gateways. */
   private void updateShares() {
-    int gateways = Math.max(1, parts.link().controllers().size());
-    parts.limiter().sharedBy(gateways);
-    parts.gates().sharedBy(gateways);
+    List<MemberInfo> controllers = parts.link().allControllers();
+    parts.gates().sharedBy(Math.max(1, controllers.size()));
+    teamShares.refresh(controllers);
     parts.gates().state().forEach(this::report);
     parts.servers().leaving(parts.link().leaving());
     parts.servers().retain(parts.replica().catalog());
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/gateway/TeamShares.java
@@ -0,0 +1,80 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.gateway;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.landingtrack.internal.admission.TeamLimiter;
+import org.landingtrack.internal.admission.TeamLimiter.Demand;
+import org.landingtrack.internal.base.Hashes;
+import org.landingtrack.internal.peer.Messages.MemberInfo;
+import org.landingtrack.internal.peer.Messages.ShareAnswer;
+import org.landingtrack.internal.peer.Messages.ShareQuery;
+import org.landingtrack.internal.peer.PeerClient;
+import org.landingtrack.internal.peer.PeerException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Asks the owners of teams for shares of their limits. A team's owner is the first controller of
+ * all data centres by rendezvous; if it does not answer, what was granted ends by itself and the
+ * gateway goes back to an equal share. Used by one thread.
+ */
+final class TeamShares {
+  private static final Logger log = LoggerFactory.getLogger("shares");
+  private static final String OWNER_SALT = "team/";
+  private static final int CALL_MS = 500;
+
+  private final String vm;
+  private final TeamLimiter limiter;
+  private final PeerClient peers;
+
+  TeamShares(String vm, TeamLimiter limiter, PeerClient peers) {
+    this.vm = vm;
+    this.limiter = limiter;
+    this.peers = peers;
+  }
+
+  /** Reports the teams that are near their share and takes what is granted. */
+  void refresh(List<MemberInfo> controllers) {
+    limiter.sharedBy(Math.max(1, controllers.size()));
+    Map<String, List<Demand>> byOwner = new HashMap<>();
+    for (Demand demand : limiter.demands()) {
+      if (!controllers.isEmpty()) {
+        String key = OWNER_SALT + demand.team();
+        MemberInfo owner = Hashes.rendezvous(key, controllers, MemberInfo::vm).get(0);
+        byOwner.computeIfAbsent(owner.address(), a -> new ArrayList<>()).add(demand);
+      }
+    }
+    byOwner.forEach(this::ask);
+  }
+
+  private void ask(String owner, List<Demand> demands) {
+    List<String> teams = demands.stream().map(Demand::team).toList();
+    List<Double> wanted = demands.stream().map(Demand::wanted).toList();
+    try {
+      ShareAnswer answer =
+          peers.call(owner, new ShareQuery(vm, teams, wanted), ShareAnswer.class, CALL_MS);
+      for (int i = 0; i < Math.min(teams.size(), answer.shares().size()); i++) {
+        limiter.granted(teams.get(i), answer.shares().get(i));
+      }
+    } catch (PeerException e) {
+      log.debug("Owner {} gives no shares: {}.", owner, e.getMessage());
+    }
+  }
+}
--- a/landingtrack/src/main/java/org/landingtrack/internal/peer/Messages.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/peer/Messages.java
@@ -114,6 +114,16 @@
   /** Gives up the claim of a request that never ran. */
   public record ClaimRelease(String keyHash, String claimant) {}
 
+  /**
+   * What a gateway wants of teams' limits, to the teams' owner.
+   *
+   * @param wanted share of the limit for each team, 0 to 1
+   */
+  public record ShareQuery(String gateway, List<String> teams, List<Double> wanted) {}
+
+  /** The shares that the gateway may use, in the order of the query. */
+  public record ShareAnswer(List<Double> shares) {}
+
   /** Explanations of decisions, from a gateway to its controller. */
   public record Explained(List<Explanation> explanations) {}
 
