ctl shows what a change does, key by key, also in a dry run

Ways weighed: comparing the file with 'get' at the client (defaults and order of keys look like changes); comparing at the controller. Chosen: the reply carries the content before and after as the controller reads it; SpecDiff prints a line a key.

--- a/landingtrack/src/main/java/org/landingtrack/internal/cli/CtlPrinter.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/cli/CtlPrinter.java
@@ -18,6 +18,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.PrintStream;
 import java.time.Instant;
+import java.util.List;
 import org.landingtrack.internal.base.Json;
 import org.landingtrack.operators.v1.AuditEntry;
 import org.landingtrack.operators.v1.CatalogObject;
@@ -62,6 +63,9 @@
               ? "unchanged"
               : dryRun ? "would change" : "changed by " + reply.getChangeId();
       out.println(kind + "/" + name + " version " + reply.getVersion() + " " + what);
+      if (reply.getChanged()) {
+        diff(kind + "/" + name, reply).forEach(line -> out.println("  " + line));
+      }
       return;
     }
     ObjectNode node = node();
@@ -71,9 +75,18 @@
     node.put("revision", reply.getRevision());
     node.put("change_id", reply.getChangeId());
     node.put("changed", reply.getChanged());
+    diff(kind + "/" + name, reply).forEach(node.putArray("diff")::add);
     out.println(node);
   }
 
+  private static List<String> diff(String name, PutReply reply) {
+    return SpecDiff.lines(spec(name, reply.getBeforeJson()), spec(name, reply.getAfterJson()));
+  }
+
+  private static ObjectNode spec(String name, String json) {
+    return json.isEmpty() ? node() : Json.read(name, json, ObjectNode.class);
+  }
+
   void status(StatusReply reply) {
     if (json) {
       statusAsJson(reply);
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/cli/SpecDiff.java
@@ -0,0 +1,81 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+
+/** What a change does to an object's content, a line for each key. */
+final class SpecDiff {
+  private static final int LONGEST_VALUE = 60;
+
+  private SpecDiff() {}
+
+  /**
+   * Compares two contents.
+   *
+   * @param before empty if the object is new
+   * @param after empty if it is deleted
+   * @return lines such as {@code ~ maxQueue: 100 -> 200}, sorted by key
+   */
+  static List<String> lines(JsonNode before, JsonNode after) {
+    Map<String, String> old = flatten(before);
+    Map<String, String> next = flatten(after);
+    Map<String, String> all = new TreeMap<>(old);
+    all.putAll(next);
+    List<String> lines = new ArrayList<>();
+    for (String key : all.keySet()) {
+      @Nullable String was = old.get(key);
+      @Nullable String becomes = next.get(key);
+      if (was == null) {
+        lines.add("+ " + key + ": " + becomes);
+      } else if (becomes == null) {
+        lines.add("- " + key + ": " + was);
+      } else if (!was.equals(becomes)) {
+        lines.add("~ " + key + ": " + was + " -> " + becomes);
+      }
+    }
+    return lines;
+  }
+
+  private static Map<String, String> flatten(JsonNode node) {
+    Map<String, String> flat = new TreeMap<>();
+    addAll(flat, "", node);
+    return flat;
+  }
+
+  private static void addAll(Map<String, String> flat, String path, JsonNode node) {
+    if (!node.isObject()) {
+      flat.put(path, shortened(node.toString()));
+      return;
+    }
+    Iterator<Map.Entry<String, JsonNode>> fields = node.fields();
+    while (fields.hasNext()) {
+      Map.Entry<String, JsonNode> field = fields.next();
+      String own = path.isEmpty() ? field.getKey() : path + "." + field.getKey();
+      addAll(flat, own, field.getValue());
+    }
+  }
+
+  private static String shortened(String value) {
+    return value.length() <= LONGEST_VALUE ? value : value.substring(0, LONGEST_VALUE) + "…";
+  }
+}
--- a/landingtrack/src/main/java/org/landingtrack/internal/operator/CatalogWriter.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/operator/CatalogWriter.java
@@ -54,8 +54,19 @@
   private final RandomGenerator random;
   private final long visibleWithinMs;
 
-  /** The outcome of a change. */
-  public record Outcome(long version, long revision, String changeId, boolean changed) {}
+  /**
+   * The outcome of a change, or of a dry run of one.
+   *
+   * @param before content before it as JSON; empty if there was none
+   * @param after content after it as JSON; empty for a delete
+   */
+  public record Outcome(
+      long version,
+      long revision,
+      String changeId,
+      boolean changed,
+      String before,
+      String after) {}
 
   /**
    * Creates a writer.
@@ -124,14 +135,24 @@
     boolean same = before != null && before.equals(after.orElse(null));
     if (same || dryRun) {
       long revision = stored.map(StoredObject::revision).orElse(0L);
-      return new Outcome(visible, revision, "", !same);
+      return new Outcome(visible, revision, "", !same, text(before), text(after.orElse(null)));
     }
     Change change = newChange(operator, known, before, after);
     StoredEntry next = next(kind, name, known, change, after);
     long platformVersion = stored.map(StoredObject::version).orElse(ObjectApi.ABSENT);
     StoredObject written = writeSettled(key, next, change.changeId(), platformVersion);
     awaitVisible(written.revision());
-    return new Outcome(change.version(), written.revision(), change.changeId(), true);
+    return new Outcome(
+        change.version(),
+        written.revision(),
+        change.changeId(),
+        true,
+        text(before),
+        text(after.orElse(null)));
+  }
+
+  private static String text(@Nullable JsonNode spec) {
+    return spec == null ? "" : spec.toString();
   }
 
   private static void checkVersion(Kind kind, String name, long expected, long current) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/operator/OperatorService.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/operator/OperatorService.java
@@ -173,6 +173,8 @@
         .setRevision(outcome.revision())
         .setChangeId(outcome.changeId())
         .setChanged(outcome.changed())
+        .setBeforeJson(outcome.before())
+        .setAfterJson(outcome.after())
         .build();
   }
 
