Nodes hold an object without its audit trail; trails are longer and bounded by size

Cause, found by reading docs/CAPACITY.md against the code: a replica's entry was the whole value of the Object API, audit trail included; the 566 bytes a change were measured with a trail of one. With the full trail of 24 changes an entry of a 500-character object is 27,266 characters: 20,000 objects would be 545 MB a node, and 1.02 changes a second 139 KB/s over the relay tree, both far over the limits (256 MB, 23 KB/s). Ways weighed: a separate trail object (two writes, a crash between them); trimming the trail to one (audit lost). Chosen: the platform's value stays as it is, one conditional update for content and trail; what enters replicas and relays holds the last change without contents (661 characters for the same object, 41 times less). 'audit KIND NAME' and 'explain KIND/NAME' read the whole trail from the platform when asked, say so when it does not answer, and know the last change then; 'audit [KIND]' shows the last change of each object from the replica. Also: 200 changes an object instead of 24, at most 200,000 characters of contents, so that a large object's trail cannot pass the platform's 1 MB (it could: a team with 1,000 keys and 24 changes had 3 MB). CatalogWriterTest.theTrailIsBoundedAndSurvivesADelete makes more changes than the new bound, the assertion is the same. Tests: StoredEntryTest, AuditTrailTest.

--- a/landingtrack/src/main/java/org/landingtrack/internal/cli/Ctl.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/cli/Ctl.java
@@ -32,7 +32,10 @@
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
+import org.landingtrack.ErrorKind;
+import org.landingtrack.LandingtrackException;
 import org.landingtrack.operators.v1.AuditEntry;
+import org.landingtrack.operators.v1.AuditReply;
 import org.landingtrack.operators.v1.AuditRequest;
 import org.landingtrack.operators.v1.CatalogObject;
 import org.landingtrack.operators.v1.DeleteRequest;
@@ -61,7 +64,8 @@
         rollback SERVICE           roll it back to the version before
         status                     show the controller and its members
         explain SUBJECT            explain a request id or KIND/NAME
-        audit [KIND [NAME]]        show changes, newest first
+        audit [KIND]               show the last change of each object, newest first
+        audit KIND NAME            show all changes of one object, newest first
       """;
 
   private static final JsonMapper FILES =
@@ -318,7 +322,7 @@
 
   private void rollback(String service) {
     String current = parse(read(SERVICE, service).getSpecJson()).path("weightVersion").asText();
-    for (AuditEntry entry : auditEntries(SERVICE, service)) {
+    for (AuditEntry entry : auditReply(SERVICE, service).getEntriesList()) {
       String before = entry.getBefore().isEmpty() ? "{}" : entry.getBefore();
       String version = parse(before).path("weightVersion").asText();
       if (!version.isEmpty() && !version.equals(current)) {
@@ -340,16 +344,21 @@
     return reply.getKnown() ? ExitCodes.DONE : ExitCodes.FAILED;
   }
 
-  private List<AuditEntry> auditEntries(String kind, String name) {
+  private AuditReply auditReply(String kind, String name) {
     return client
         .call()
-        .audit(AuditRequest.newBuilder().setKind(kind).setName(name).setLimit(limit).build())
-        .getEntriesList();
+        .audit(AuditRequest.newBuilder().setKind(kind).setName(name).setLimit(limit).build());
   }
 
   private void audit(List<String> words) {
     String kind = words.size() < 2 ? "" : words.get(1);
     String name = words.size() < 3 ? "" : words.get(2);
-    auditEntries(kind, name).forEach(printer::auditEntry);
+    AuditReply reply = auditReply(kind, name);
+    reply.getEntriesList().forEach(printer::auditEntry);
+    if (!name.isEmpty() && !reply.getWhole()) {
+      throw new LandingtrackException(
+          ErrorKind.PLATFORM_UNAVAILABLE,
+          "the platform does not answer; only the last change is known");
+    }
   }
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/config/ConfigFeed.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/config/ConfigFeed.java
@@ -19,7 +19,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
+import org.landingtrack.LandingtrackException;
 import org.landingtrack.internal.base.Duty;
+import org.landingtrack.internal.base.Json;
+import org.landingtrack.internal.catalog.StoredEntry;
 import org.landingtrack.internal.membership.Member;
 import org.landingtrack.internal.membership.MembershipService;
 import org.landingtrack.internal.peer.Messages.ConfigAnswer;
@@ -211,7 +214,16 @@
   }
 
   private static ConfigEntry entry(StoredObject object) {
-    return new ConfigEntry(object.key(), object.version(), object.revision(), object.value());
+    return new ConfigEntry(object.key(), object.version(), object.revision(), forReplicas(object));
+  }
+
+  private static String forReplicas(StoredObject object) {
+    try {
+      return Json.write(Json.read(object.key(), object.value(), StoredEntry.class).forReplicas());
+    } catch (LandingtrackException e) {
+      // A newer release may write what this one cannot read; the replica says so.
+      return object.value();
+    }
   }
 
   private void compare() {
--- a/landingtrack/src/main/java/org/landingtrack/internal/controller/ControllerProcess.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/controller/ControllerProcess.java
@@ -70,6 +70,7 @@
     parts.routes().addTo(parts.peerServer());
     OperatorService service =
         new OperatorService(
+            parts.objectApi(),
             parts.writer(),
             parts.replica(),
             parts.membership(),
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/operator/AuditTrail.java
@@ -0,0 +1,148 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.operator;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import org.landingtrack.internal.base.Json;
+import org.landingtrack.internal.catalog.Kind;
+import org.landingtrack.internal.catalog.StoredEntry;
+import org.landingtrack.internal.catalog.StoredEntry.Change;
+import org.landingtrack.internal.config.ConfigEntry;
+import org.landingtrack.internal.config.ConfigReplica;
+import org.landingtrack.internal.platform.ObjectApi;
+import org.landingtrack.internal.platform.ObjectApi.CallClass;
+import org.landingtrack.internal.platform.PlatformException;
+import org.landingtrack.internal.platform.StoredObject;
+
+/**
+ * Who changed what. An object's whole trail is read from the Object API when it is asked for; the
+ * replica has the last change of every object. Thread-safe.
+ */
+final class AuditTrail {
+  private final ObjectApi api;
+  private final ConfigReplica replica;
+
+  AuditTrail(ObjectApi api, ConfigReplica replica) {
+    this.api = api;
+    this.replica = replica;
+  }
+
+  /** One change with the object that it changed. */
+  record Entry(Kind kind, String name, Change change) {
+    String subject() {
+      return kind.label() + "/" + name;
+    }
+  }
+
+  /**
+   * Changes, newest first.
+   *
+   * @param whole false if only the last change of each object was at hand
+   */
+  record Page(List<Entry> entries, boolean whole) {}
+
+  /** Returns the changes of one object. */
+  Page of(Kind kind, String name, int limit) {
+    Optional<StoredEntry> stored = fromPlatform(kind, name);
+    if (stored.isPresent()) {
+      return new Page(newest(entries(stored.get()), limit), true);
+    }
+    List<Entry> known = new ArrayList<>();
+    replica.entry(kind, name).ifPresent(entry -> known.addAll(entries(decode(entry))));
+    return new Page(known, false);
+  }
+
+  /** Returns the last change of each object of a kind, or of all kinds. */
+  Page lastChanges(Optional<Kind> kind, int limit) {
+    List<Entry> found = new ArrayList<>();
+    for (ConfigEntry entry : replica.entries()) {
+      StoredEntry stored = decode(entry);
+      if (kind.isEmpty() || kind.get() == stored.kind()) {
+        found.addAll(entries(stored));
+      }
+    }
+    return new Page(newest(found, limit), false);
+  }
+
+  /** Explains an object in sentences; none if it was never there. */
+  List<String> explain(Kind kind, String name) {
+    Optional<ConfigEntry> entry = replica.entry(kind, name);
+    if (entry.isEmpty()) {
+      return List.of();
+    }
+    StoredEntry stored = decode(entry.get());
+    String subject = kind.label() + "/" + name;
+    List<String> sentences = new ArrayList<>();
+    sentences.add(
+        stored.spec() == null
+            ? subject + " was deleted."
+            : subject + " is at version " + stored.version() + ": " + stored.spec() + ".");
+    Page page = of(kind, name, StoredEntry.MAX_AUDIT);
+    for (int i = page.entries().size() - 1; i >= 0; i--) {
+      sentences.add(sentence(page.entries().get(i).change()));
+    }
+    if (!page.whole()) {
+      sentences.add("The platform does not answer; earlier changes are not known here.");
+    }
+    return sentences;
+  }
+
+  private static String sentence(Change change) {
+    return change.operator()
+        + " made it version "
+        + change.version()
+        + " by "
+        + change.action()
+        + " at "
+        + Instant.ofEpochMilli(change.atMs())
+        + ".";
+  }
+
+  private Optional<StoredEntry> fromPlatform(Kind kind, String name) {
+    String key = StoredEntry.key(kind, name);
+    try {
+      Optional<StoredObject> object = api.read(CallClass.STATUS, key);
+      return object.map(stored -> Json.read(key, stored.value(), StoredEntry.class));
+    } catch (PlatformException e) {
+      return Optional.empty();
+    }
+  }
+
+  private static StoredEntry decode(ConfigEntry entry) {
+    return Json.read(entry.key(), entry.value(), StoredEntry.class);
+  }
+
+  private static List<Entry> entries(StoredEntry stored) {
+    List<Entry> entries = new ArrayList<>();
+    for (Change change : stored.audit()) {
+      entries.add(new Entry(stored.kind(), stored.name(), change));
+    }
+    return entries;
+  }
+
+  private static List<Entry> newest(List<Entry> entries, int limit) {
+    // Changes of one object within a millisecond keep the order of their versions.
+    entries.sort(
+        Comparator.comparingLong((Entry entry) -> entry.change().atMs())
+            .thenComparingLong(entry -> entry.change().version())
+            .reversed());
+    return entries.subList(0, Math.min(limit, entries.size()));
+  }
+}
--- a/landingtrack/src/main/java/org/landingtrack/internal/operator/CatalogWriter.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/operator/CatalogWriter.java
@@ -17,7 +17,6 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.UUID;
@@ -61,12 +60,7 @@
    * @param after content after it as JSON; empty for a delete
    */
   public record Outcome(
-      long version,
-      long revision,
-      String changeId,
-      boolean changed,
-      String before,
-      String after) {}
+      long version, long revision, String changeId, boolean changed, String before, String after) {}
 
   /**
    * Creates a writer.
@@ -138,7 +132,8 @@
       return new Outcome(visible, revision, "", !same, text(before), text(after.orElse(null)));
     }
     Change change = newChange(operator, known, before, after);
-    StoredEntry next = next(kind, name, known, change, after);
+    StoredEntry old = known == null ? new StoredEntry(kind, name, 0, null, List.of()) : known;
+    StoredEntry next = old.withChange(change);
     long platformVersion = stored.map(StoredObject::version).orElse(ObjectApi.ABSENT);
     StoredObject written = writeSettled(key, next, change.changeId(), platformVersion);
     awaitVisible(written.revision());
@@ -188,21 +183,6 @@
         after.orElse(null));
   }
 
-  private static StoredEntry next(
-      Kind kind,
-      String name,
-      @Nullable StoredEntry known,
-      Change change,
-      Optional<JsonNode> after) {
-    List<Change> audit = new ArrayList<>();
-    if (known != null) {
-      int from = Math.max(0, known.audit().size() + 1 - StoredEntry.MAX_AUDIT);
-      audit.addAll(known.audit().subList(from, known.audit().size()));
-    }
-    audit.add(change);
-    return new StoredEntry(kind, name, change.version(), after.orElse(null), audit);
-  }
-
   private StoredObject writeSettled(
       String key, StoredEntry next, String changeId, long expectedVersion) {
     Backoff backoff = new Backoff(random, 20, 500);
--- a/landingtrack/src/main/java/org/landingtrack/internal/operator/OperatorService.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/operator/OperatorService.java
@@ -16,13 +16,11 @@
 package org.landingtrack.internal.operator;
 
 import io.grpc.stub.StreamObserver;
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
-import org.jspecify.annotations.Nullable;
 import org.landingtrack.ErrorKind;
 import org.landingtrack.LandingtrackException;
 import org.landingtrack.internal.base.Json;
@@ -33,6 +31,7 @@
 import org.landingtrack.internal.config.ConfigEntry;
 import org.landingtrack.internal.config.ConfigReplica;
 import org.landingtrack.internal.membership.MembershipService;
+import org.landingtrack.internal.platform.ObjectApi;
 import org.landingtrack.operators.v1.AuditEntry;
 import org.landingtrack.operators.v1.AuditReply;
 import org.landingtrack.operators.v1.AuditRequest;
@@ -66,8 +65,10 @@
   private final BooleanSupplier platformReachable;
   private final Rollouts rollouts;
   private final ExplainSource explanations;
+  private final AuditTrail audit;
 
   public OperatorService(
+      ObjectApi api,
       CatalogWriter writer,
       ConfigReplica replica,
       MembershipService membership,
@@ -80,6 +81,7 @@
     this.platformReachable = platformReachable;
     this.rollouts = rollouts;
     this.explanations = explanations;
+    this.audit = new AuditTrail(api, replica);
   }
 
   private static <T> void answer(StreamObserver<T> observer, Supplier<T> work) {
@@ -293,30 +295,7 @@
 
   private List<String> explainObject(String subject) {
     int slash = subject.indexOf('/');
-    Kind kind = kind(subject.substring(0, slash));
-    String name = subject.substring(slash + 1);
-    @Nullable ConfigEntry entry = replica.entry(kind, name).orElse(null);
-    if (entry == null) {
-      return List.of();
-    }
-    StoredEntry stored = decode(entry);
-    List<String> sentences = new ArrayList<>();
-    sentences.add(
-        stored.spec() == null
-            ? subject + " was deleted."
-            : subject + " is at version " + stored.version() + ": " + stored.spec() + ".");
-    for (StoredEntry.Change change : stored.audit()) {
-      sentences.add(
-          change.operator()
-              + " made it version "
-              + change.version()
-              + " by "
-              + change.action()
-              + " at "
-              + java.time.Instant.ofEpochMilli(change.atMs())
-              + ".");
-    }
-    return sentences;
+    return audit.explain(kind(subject.substring(0, slash)), subject.substring(slash + 1));
   }
 
   @Override
@@ -324,33 +303,32 @@
     answer(
         observer,
         () -> {
-          int limit = limit(request.getLimit());
-          List<AuditEntry> found = new ArrayList<>();
-          for (ConfigEntry entry : replica.entries()) {
-            StoredEntry stored = decode(entry);
-            if (matches(request, stored)) {
-              stored.audit().forEach(change -> found.add(auditEntry(stored, change)));
-            }
-          }
-          found.sort(Comparator.comparingLong(AuditEntry::getAtMs).reversed());
-          List<AuditEntry> newest = found.subList(0, Math.min(limit, found.size()));
-          return AuditReply.newBuilder().addAllEntries(newest).build();
+          AuditTrail.Page page = page(request);
+          AuditReply.Builder reply = AuditReply.newBuilder().setWhole(page.whole());
+          page.entries().forEach(entry -> reply.addEntries(auditEntry(entry)));
+          return reply.build();
         });
   }
 
-  private static boolean matches(AuditRequest request, StoredEntry stored) {
-    boolean kindFits =
-        request.getKind().isEmpty() || request.getKind().equals(stored.kind().label());
-    return kindFits && (request.getName().isEmpty() || request.getName().equals(stored.name()));
+  private AuditTrail.Page page(AuditRequest request) {
+    int limit = limit(request.getLimit());
+    if (request.getKind().isEmpty()) {
+      return audit.lastChanges(Optional.empty(), limit);
+    }
+    Kind kind = kind(request.getKind());
+    return request.getName().isEmpty()
+        ? audit.lastChanges(Optional.of(kind), limit)
+        : audit.of(kind, request.getName(), limit);
   }
 
-  private static AuditEntry auditEntry(StoredEntry stored, StoredEntry.Change change) {
+  private static AuditEntry auditEntry(AuditTrail.Entry entry) {
+    StoredEntry.Change change = entry.change();
     return AuditEntry.newBuilder()
         .setChangeId(change.changeId())
         .setAtMs(change.atMs())
         .setOperator(change.operator())
         .setFrom(change.from())
-        .setSubject(stored.kind().label() + "/" + stored.name())
+        .setSubject(entry.subject())
         .setAction(change.action())
         .setBefore(change.before() == null ? "" : change.before().toString())
         .setAfter(change.after() == null ? "" : change.after().toString())
--- /dev/null
+++ b/landingtrack/src/test/java/org/landingtrack/internal/catalog/StoredEntryTest.java
@@ -0,0 +1,76 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.catalog;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
+import org.landingtrack.internal.base.Json;
+import org.landingtrack.internal.catalog.StoredEntry.Change;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** How long an object's trail is, in the platform and on the nodes. */
+public final class StoredEntryTest {
+  private static final int PLATFORM_VALUE_BYTES = 1_000_000;
+
+  private static StoredEntry changed(int times, int specChars) {
+    StoredEntry entry = new StoredEntry(Kind.TEAM, "t", 0, null, List.of());
+    for (int i = 1; i <= times; i++) {
+      JsonNode spec = Json.LENIENT.createObjectNode().put("text", i + "x".repeat(specChars));
+      entry =
+          entry.withChange(new Change("c" + i, i, "ann", "here", "update", i, entry.spec(), spec));
+    }
+    return entry;
+  }
+
+  @DataProvider
+  public Object[][] trails() {
+    return new Object[][] {
+      // changes, characters of the content, changes kept
+      {0, 10, 0},
+      {1, 10, 1},
+      {150, 100, 150},
+      {300, 100, StoredEntry.MAX_AUDIT},
+      {50, 30_000, 3},
+      {5, 300_000, 1},
+    };
+  }
+
+  /** However large the contents are, the value fits the platform and the last change is kept. */
+  @Test(dataProvider = "trails")
+  public void theTrailIsBoundedByNumberAndSize(int changes, int chars, int kept) {
+    StoredEntry entry = changed(changes, chars);
+    assertEquals(entry.audit().size(), kept);
+    assertEquals(entry.version(), changes);
+    assertTrue(changes == 0 || entry.holdsChange("c" + changes));
+    assertTrue(Json.write(entry).length() < PLATFORM_VALUE_BYTES);
+  }
+
+  /** A node holds every object; the trail must not come with it. */
+  @Test
+  public void replicasHoldTheContentAndWhoChangedItLast() {
+    StoredEntry whole = changed(24, 500);
+    StoredEntry held = whole.forReplicas();
+    assertEquals(held.spec(), whole.spec());
+    assertEquals(held.version(), whole.version());
+    assertEquals(held.audit().size(), 1);
+    assertEquals(held.audit().get(0).changeId(), "c24");
+    assertTrue(Json.write(held).length() < 1_000, "characters: " + Json.write(held).length());
+  }
+}
--- a/landingtrack/src/test/java/org/landingtrack/internal/cli/SpecDiffTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/cli/SpecDiffTest.java
@@ -32,17 +32,12 @@
       {"{}", "{\"b\":\"x\",\"a\":[1]}", List.of("+ a: [1]", "+ b: \"x\"")},
       {"{\"a\":{\"b\":1,\"c\":2}}", "{\"a\":{\"b\":1}}", List.of("- a.c: 2")},
       {"{\"a\":1}", "{\"a\":{\"b\":1}}", List.of("- a: 1", "+ a.b: 1")},
-      {
-        "{}",
-        "{\"a\":\"" + "x".repeat(80) + "\"}",
-        List.of("+ a: \"" + "x".repeat(59) + "…")
-      },
+      {"{}", "{\"a\":\"" + "x".repeat(80) + "\"}", List.of("+ a: \"" + "x".repeat(59) + "…")},
     };
   }
 
   @Test(dataProvider = "changes")
-  public void everyKeyHasItsLine(String before, String after, List<String> lines)
-      throws Exception {
+  public void everyKeyHasItsLine(String before, String after, List<String> lines) throws Exception {
     assertEquals(
         SpecDiff.lines(Json.LENIENT.readTree(before), Json.LENIENT.readTree(after)), lines);
   }
--- /dev/null
+++ b/landingtrack/src/test/java/org/landingtrack/internal/operator/AuditTrailTest.java
@@ -0,0 +1,110 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.operator;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.landingtrack.internal.base.Json;
+import org.landingtrack.internal.catalog.Kind;
+import org.landingtrack.internal.catalog.StoredEntry;
+import org.landingtrack.internal.config.ConfigDelta;
+import org.landingtrack.internal.config.ConfigEntry;
+import org.landingtrack.internal.config.ConfigReplica;
+import org.landingtrack.internal.platform.FakeObjectApi;
+import org.landingtrack.internal.platform.ObjectApi.CallClass;
+import org.landingtrack.internal.platform.StoredObject;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** What is known of changes, with the platform and without it. */
+public final class AuditTrailTest {
+  private static final Operator ANN = new Operator("ann", true, "here");
+  private static final int CHANGES = 5;
+
+  private final FakeObjectApi api = new FakeObjectApi();
+  private final ConfigReplica replica = new ConfigReplica();
+  private final AuditTrail trail = new AuditTrail(api, replica);
+
+  public AuditTrailTest() {
+    long[] clock = {0};
+    CatalogWriter writer =
+        new CatalogWriter(api, replica, () -> clock[0]++, new SplittableRandom(1), 0);
+    feed();
+    for (String name : List.of("a", "b")) {
+      for (int i = 1; i <= CHANGES; i++) {
+        String spec = "{\"contextTokens\":" + (1_000 + i) + ",\"kvBytesPerToken\":1000}";
+        writer.put(ANN, Kind.MODEL, name, spec, -1, false);
+        feed();
+      }
+    }
+  }
+
+  /** Feeds the replica as the controllers' watch does. */
+  private void feed() {
+    List<ConfigEntry> entries = new ArrayList<>();
+    long newest = 0;
+    for (StoredObject o : api.list(CallClass.CONFIGURATION, "config/", "", 100).objects()) {
+      StoredEntry held = Json.read(o.key(), o.value(), StoredEntry.class).forReplicas();
+      entries.add(new ConfigEntry(o.key(), o.version(), o.revision(), Json.write(held)));
+      newest = Math.max(newest, o.revision());
+    }
+    replica.merge(0, new ConfigDelta(newest, entries));
+  }
+
+  @DataProvider
+  public Object[][] questions() {
+    return new Object[][] {
+      // platform out, object (empty: all), entries, whole
+      {false, "a", CHANGES, true},
+      {true, "a", 1, false},
+      {false, "", 2, false},
+      {true, "", 2, false},
+      {false, "never", 0, false},
+    };
+  }
+
+  @Test(dataProvider = "questions")
+  public void changesComeNewestFirstAndSayWhetherTheyAreAll(
+      boolean out, String name, int entries, boolean whole) {
+    api.out(out);
+    AuditTrail.Page page =
+        name.isEmpty()
+            ? trail.lastChanges(Optional.of(Kind.MODEL), 100)
+            : trail.of(Kind.MODEL, name, 100);
+    api.out(false);
+    assertEquals(page.entries().size(), entries);
+    assertEquals(page.whole(), whole);
+    for (int i = 1; i < page.entries().size(); i++) {
+      long before = page.entries().get(i - 1).change().atMs();
+      assertTrue(before > page.entries().get(i).change().atMs(), "not newest first");
+    }
+  }
+
+  @Test
+  public void anExplanationSaysWhatItDoesNotKnow() {
+    assertEquals(trail.explain(Kind.MODEL, "a").size(), 1 + CHANGES);
+    api.out(true);
+    List<String> without = trail.explain(Kind.MODEL, "a");
+    api.out(false);
+    assertEquals(without.size(), 3);
+    assertTrue(without.get(2).contains("earlier changes are not known here"), without.get(2));
+  }
+}
--- a/landingtrack/src/test/java/org/landingtrack/internal/operator/CatalogWriterTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/operator/CatalogWriterTest.java
@@ -163,7 +163,8 @@
   @Test
   public void theTrailIsBoundedAndSurvivesADelete() {
     Fixture f = new Fixture();
-    for (int i = 0; i < 40; i++) {
+    int changes = StoredEntry.MAX_AUDIT + 16;
+    for (int i = 0; i < changes; i++) {
       f.put(10 + i, -1);
       f.feed();
     }
@@ -172,6 +173,6 @@
     assertEquals(stored.audit().size(), StoredEntry.MAX_AUDIT);
     assertEquals(stored.audit().get(StoredEntry.MAX_AUDIT - 1).action(), "delete");
     f.feed();
-    assertEquals(f.put(5, 0).version(), 42);
+    assertEquals(f.put(5, 0).version(), changes + 2);
   }
 }
