--- a/landingtrack/src/main/java/org/landingtrack/internal/cli/ProcessCommand.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/cli/ProcessCommand.java
@@ -25,6 +25,8 @@
 import org.landingtrack.internal.gateway.GatewayProcess;
 import org.landingtrack.internal.settings.ControllerSettings;
 import org.landingtrack.internal.settings.GatewaySettings;
+import org.landingtrack.internal.tls.TlsFiles;
+import org.landingtrack.internal.tls.TlsIdentities;
 import org.slf4j.LoggerFactory;
 
 /** Runs the gateway and the controller, and checks their settings. */
@@ -76,10 +78,10 @@
 
   /** Reads a file by the key {@code process} in it, so that one command checks both kinds. */
   static int check(Path file) {
-    if (isGateway(file)) {
-      var unused = GatewaySettings.read(file);
-    } else {
-      var unused = ControllerSettings.read(file);
+    TlsFiles tls =
+        isGateway(file) ? GatewaySettings.read(file).tls() : ControllerSettings.read(file).tls();
+    if (tls != null) {
+      var unused = TlsIdentities.load(tls);
     }
     System.out.println(file + ": ok");
     return ExitCodes.DONE;
