Eviction is never priced above computing; refusals look at those that wait only

Change: an eviction costs the quicker of a restore and computing; scarcity prices the restore only; the refusal looks at the delay of waiting requests alone. A debug print left in KeptStateProcessTest is gone. Test: CostPolicyTest.aBrokenLinkPricesEvictionNoHigherThanComputing (red by reasoning; not run on the old code).

--- a/bench/src/test/java/org/landingtrack/bench/KeptStateProcessTest.java
+++ b/bench/src/test/java/org/landingtrack/bench/KeptStateProcessTest.java
@@ -74,8 +74,6 @@
             forget(deployment, manifests(deployment));
             Answer answer = ask(deployment, "third");
             String why = explain(deployment, answer);
-            System.err.println(
-                "DBG " + answer.cachedTokens() + " " + manifests(deployment) + " " + why);
             return why.contains("Restored") && answer.cachedTokens() > 0;
           });
     }
--- a/landingtrack/src/main/java/org/landingtrack/internal/dispatch/ModelRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/dispatch/ModelRun.java
@@ -25,7 +25,6 @@
 import org.landingtrack.ErrorKind;
 import org.landingtrack.LandingtrackException;
 import org.landingtrack.RunState;
-import org.landingtrack.internal.catalog.BackendServer;
 import org.landingtrack.internal.catalog.Catalog;
 import org.landingtrack.internal.catalog.Kind;
 import org.landingtrack.internal.catalog.Model;
@@ -33,10 +32,8 @@
 import org.landingtrack.internal.catalog.WeightVersion;
 import org.landingtrack.internal.engine.CompletionCall;
 import org.landingtrack.internal.engine.CompletionOutcome;
-import org.landingtrack.internal.engine.KeptImport;
 import org.landingtrack.internal.engine.TokenSink;
 import org.landingtrack.internal.explain.Trace;
-import org.landingtrack.internal.kept.LinkBudget;
 import org.landingtrack.internal.prefix.PrefixChain;
 import org.landingtrack.internal.routing.LoadReport;
 import org.landingtrack.internal.routing.RouteDecision;
@@ -56,9 +53,6 @@
   private static final long IDLE_MS = 10_000;
   private static final double RESTORE_FIXED_MS = 3;
 
-  /** An engine keeps restored blocks so long for the request that they were restored for. */
-  private static final long MAX_PIN_MS = 5_000;
-
   private static final int MAX_ATTEMPTS = 6;
   private static final int MAX_WEIGHT_REFUSALS = 64;
   private static final int DEFAULT_KV_BYTES_PER_TOKEN = 1_000;
@@ -196,7 +190,7 @@
     if (isLate) {
       throw overloaded("no backend server can start it before the deadline", best.queueMs());
     }
-    if (best.othersMs() > leftMs) {
+    if (best.waitersMs() > leftMs) {
       throw overloaded("its work would delay those that wait for too long", best.ttftMs());
     }
   }
@@ -297,7 +291,8 @@
     state.sent(currentTokens);
     current = state;
     try {
-      restore(route, address);
+      new KeptRestore(parts, gate.links(), trace)
+          .run(route.option(), route.chain(), address, linkRate(), request.deadlineMs());
       CompletionCall call = call(route);
       sentMs = parts.ticker.millis();
       deliveredVersion = route.version();
@@ -328,41 +323,6 @@
         IDLE_MS);
   }
 
-  private void restore(Route route, String address) {
-    RouteOption option = route.option();
-    LinkBudget links = gate.links();
-    if (!option.restores() || !links.tryTake(option.linkBytes(), linkRate())) {
-      return;
-    }
-    Optional<ServerState> store = storeState(option.restoreFrom());
-    if (store.isEmpty()) {
-      return;
-    }
-    long began = parts.ticker.millis();
-    List<String> keys = route.chain().keys().subList(0, option.reusedBlocks());
-    long timeoutMs = Math.max(50, (long) (4 * option.restoreMs()));
-    String from = store.get().server().spec().address();
-    long pinMs = Math.min(MAX_PIN_MS, Math.max(1, request.deadlineMs() - began));
-    long moved =
-        parts.client.importKept(
-            address, new KeptImport(from, option.kept(), keys, pinMs, timeoutMs));
-    long tookMs = Math.max(1, parts.ticker.millis() - began);
-    if (moved == 0) {
-      links.failed();
-      trace.say("The restore from " + option.restoreFrom() + " brought nothing; it is recomputed.");
-      return;
-    }
-    links.observed(moved, (double) tookMs);
-    trace.say("Restored " + moved + " bytes of kept state in " + tookMs + " ms.");
-  }
-
-  private Optional<ServerState> storeState(String name) {
-    Catalog catalog = parts.catalog.get();
-    return catalog
-        .find(Kind.BACKEND_SERVER, name, BackendServer.class)
-        .map(spec -> parts.servers.state(new Catalog.NamedBackendServer(name, spec)));
-  }
-
   /** Returns the report of a whole answer, null for another attempt, or throws the final answer. */
   private @Nullable DispatchReport conclude(Route route, CompletionOutcome outcome) {
     ServerState state = route.state();
--- a/landingtrack/src/main/java/org/landingtrack/internal/routing/CostModel.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/routing/CostModel.java
@@ -61,7 +61,9 @@
     long bytes = (long) reuse.restoreBlocks() * blockBytes(links);
     double restoreMs = bytes == 0 ? 0 : links.fixedMs() + bytes / links.bytesPerMs();
     double ttftMs = networkMs + queueMs + restoreMs + prefillMs;
-    double othersMs = othersMs(query, prefillMs, restoreMs, evictedBlocks);
+    double waitersMs = query.pressure() * prefillMs;
+    double othersMs =
+        waitersMs + evictionMs(query, server, evictedBlocks) + scarcityMs(links, restoreMs);
     Weights weights = query.weights();
     double cost =
         weights.ttftMs() * (ttftMs + othersMs)
@@ -79,24 +81,27 @@
         prefillMs,
         tokens,
         bytes,
+        waitersMs,
         othersMs,
         ttftMs,
         cost);
   }
 
   /**
-   * What a way costs other requests: those that wait are delayed by the work itself; the prompts
-   * that are evicted must be restored when they return, by work that delays in its turn; and a link
-   * that is nearly used up will soon make others compute.
+   * What evicted prompts cost when they return: a restore, or computing where that is quicker, by
+   * work that delays those that wait in its turn.
    */
-  private static double othersMs(
-      RouteQuery query, double prefillMs, double restoreMs, int evictedBlocks) {
+  private static double evictionMs(RouteQuery query, ServerView server, int evictedBlocks) {
     Links links = query.links();
-    double evictionMs = evictedBlocks * blockBytes(links) / links.bytesPerMs();
-    double scarcity = 1 / (1 - links.scarcity() + MIN_BUDGET_SHARE) - 1;
-    return query.pressure() * prefillMs
-        + (1 + query.pressure()) * evictionMs
-        + Math.max(0, scarcity) * (restoreMs + evictionMs);
+    double restoreMs = evictedBlocks * blockBytes(links) / links.bytesPerMs();
+    double computeMs = evictedBlocks * PrefixChain.BLOCK_TOKENS * server.msPerToken();
+    return (1 + query.pressure()) * Math.min(restoreMs, computeMs);
+  }
+
+  /** A restore over a link whose budget is nearly used up will soon make others compute. */
+  private static double scarcityMs(Links links, double restoreMs) {
+    double price = 1 / (1 - links.scarcity() + MIN_BUDGET_SHARE) - 1;
+    return Math.max(0, price) * restoreMs;
   }
 
   static long blockBytes(Links links) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/routing/RouteOption.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/routing/RouteOption.java
@@ -24,6 +24,7 @@
  * @param restoreFrom store VM to restore from; empty for none
  * @param kept manifest to restore
  * @param restoreBlocks blocks of the manifest that are wanted
+ * @param waitersMs delay of the requests that wait, by this one's work
  * @param othersMs delay of other requests by the work, the eviction and the link's use of this one
  * @param ttftMs estimated time to first token
  * @param cost weighted sum; the lowest wins
@@ -40,6 +41,7 @@
     double prefillMs,
     int recomputedTokens,
     long linkBytes,
+    double waitersMs,
     double othersMs,
     double ttftMs,
     double cost) {
--- a/landingtrack/src/test/java/org/landingtrack/internal/dispatch/ModelRunTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/dispatch/ModelRunTest.java
@@ -32,14 +32,10 @@
 import org.landingtrack.internal.catalog.Catalog;
 import org.landingtrack.internal.catalog.Kind;
 import org.landingtrack.internal.catalog.Service;
-import org.landingtrack.internal.engine.BackendClient;
 import org.landingtrack.internal.engine.CompletionCall;
 import org.landingtrack.internal.engine.CompletionOutcome;
 import org.landingtrack.internal.engine.CompletionOutcome.NotRun;
 import org.landingtrack.internal.engine.CompletionOutcome.NotRun.Reason;
-import org.landingtrack.internal.engine.KeptImport;
-import org.landingtrack.internal.engine.PlainCall;
-import org.landingtrack.internal.engine.PlainOutcome;
 import org.landingtrack.internal.engine.TokenSink;
 import org.landingtrack.internal.engine.Usage;
 import org.landingtrack.internal.explain.Trace;
@@ -67,7 +63,7 @@
   /** One scripted call: the tokens that come before the end. */
   private record Step(int upTo, CompletionOutcome end) {}
 
-  private static final class ScriptedClient implements BackendClient {
+  private static final class ScriptedClient extends StubBackendClient {
     private final List<Step> steps;
     private final List<String> calls = new ArrayList<>();
     private int next;
@@ -95,21 +91,6 @@
       }
       return step.end;
     }
-
-    @Override
-    public Cancelled cancel(String address, String attempt) {
-      return Cancelled.UNKNOWN;
-    }
-
-    @Override
-    public long importKept(String address, KeptImport order) {
-      return 0;
-    }
-
-    @Override
-    public PlainOutcome plain(String address, PlainCall call) {
-      throw new UnsupportedOperationException();
-    }
   }
 
   private static final class Sink implements TokenSink {
--- a/landingtrack/src/test/java/org/landingtrack/internal/dispatch/OverloadTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/dispatch/OverloadTest.java
@@ -35,9 +35,6 @@
 import org.landingtrack.internal.engine.BackendClient;
 import org.landingtrack.internal.engine.CompletionCall;
 import org.landingtrack.internal.engine.CompletionOutcome;
-import org.landingtrack.internal.engine.KeptImport;
-import org.landingtrack.internal.engine.PlainCall;
-import org.landingtrack.internal.engine.PlainOutcome;
 import org.landingtrack.internal.engine.TokenSink;
 import org.landingtrack.internal.engine.Usage;
 import org.landingtrack.internal.explain.Trace;
@@ -56,34 +53,13 @@
   private int runs;
 
   private final BackendClient client =
-      new BackendClient() {
+      new StubBackendClient() {
         @Override
         public CompletionOutcome complete(String address, CompletionCall call, TokenSink sink) {
           runs++;
           sink.token(0, "t0");
           return new CompletionOutcome.Whole(new Usage(10, 0, 1));
         }
-
-        @Override
-        public CompletionOutcome resume(
-            String address, CompletionCall call, int from, TokenSink sink) {
-          throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public Cancelled cancel(String address, String attempt) {
-          return Cancelled.UNKNOWN;
-        }
-
-        @Override
-        public long importKept(String address, KeptImport order) {
-          return 0;
-        }
-
-        @Override
-        public PlainOutcome plain(String address, PlainCall call) {
-          throw new UnsupportedOperationException();
-        }
       };
 
   @DataProvider
--- a/landingtrack/src/test/java/org/landingtrack/internal/dispatch/WeightSwapRoutingTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/dispatch/WeightSwapRoutingTest.java
@@ -31,14 +31,10 @@
 import org.landingtrack.internal.catalog.Catalog;
 import org.landingtrack.internal.catalog.Kind;
 import org.landingtrack.internal.catalog.Service;
-import org.landingtrack.internal.engine.BackendClient;
 import org.landingtrack.internal.engine.CompletionCall;
 import org.landingtrack.internal.engine.CompletionOutcome;
 import org.landingtrack.internal.engine.CompletionOutcome.NotRun;
 import org.landingtrack.internal.engine.CompletionOutcome.NotRun.Reason;
-import org.landingtrack.internal.engine.KeptImport;
-import org.landingtrack.internal.engine.PlainCall;
-import org.landingtrack.internal.engine.PlainOutcome;
 import org.landingtrack.internal.engine.TokenSink;
 import org.landingtrack.internal.engine.Usage;
 import org.landingtrack.internal.explain.Trace;
@@ -53,7 +49,7 @@
   private static final int SERVERS = 8;
 
   /** Engines that load when told, refuse another version, and refuse while they load. */
-  private static final class SwappingEngines implements BackendClient {
+  private static final class SwappingEngines extends StubBackendClient {
     private final Map<String, String> versions = new HashMap<>();
     private final Set<String> loading = new HashSet<>();
     private final Map<String, Integer> whole = new HashMap<>();
@@ -80,26 +76,6 @@
       whole.merge(address, 1, Integer::sum);
       return new CompletionOutcome.Whole(new Usage(10, 0, 1));
     }
-
-    @Override
-    public CompletionOutcome resume(String address, CompletionCall call, int from, TokenSink sink) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public Cancelled cancel(String address, String attempt) {
-      return Cancelled.UNKNOWN;
-    }
-
-    @Override
-    public long importKept(String address, KeptImport order) {
-      return 0;
-    }
-
-    @Override
-    public PlainOutcome plain(String address, PlainCall call) {
-      throw new UnsupportedOperationException();
-    }
   }
 
   private final FakeTicker ticker = new FakeTicker();
--- a/landingtrack/src/test/java/org/landingtrack/internal/routing/CostPolicyTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/routing/CostPolicyTest.java
@@ -128,6 +128,22 @@
     assertEquals(chosen.server().equals(holder), stays, name + ": " + chosen.sentence());
   }
 
+  /** A link that does not work must not make prompts stick to busy engines, or be refused. */
+  @Test
+  public void aBrokenLinkPricesEvictionNoHigherThanComputing() {
+    List<ServerView> servers = List.of(server("a", 1_000_000, 1), server("b", 0, 1));
+    Links broken = new Links(1, 0, 1, 1_000, 1);
+    List<Holder> holders = List.of(new Holder("a", 100, ""));
+    RouteOption chosen =
+        policy
+            .decide(new RouteQuery(CHAIN, servers, holders, TTFT, broken, 0, "dc", NOW))
+            .chosen()
+            .orElseThrow();
+    assertEquals(chosen.server(), "b");
+    assertEquals(chosen.waitersMs(), 0.0);
+    assertTrue(chosen.othersMs() <= chosen.prefillMs(), chosen.sentence());
+  }
+
   /** Other gateways' requests ahead make answers late; they do not make the server slow. */
   @Test
   public void speedFollowsTheQuickestAnswers() {
