Model checking: every short schedule of a lease and of the configuration's relay

Cause: the promises 'one holder' and 'never reverts' were shown by cases that somebody had thought of. Ways weighed: a model in another language (drifts from the code); random schedules only (miss short ones). Chosen: the product's own Lease and ConfigReplica in a small world whose actions are explored: every schedule of length 6 (531,441 for the lease: steps of two processes, time with 5% drift, lost writes and answers, outages, releases, restarts) and 5 (32,768 for the configuration: writes, pulls, late and crossed answers, restarts), and long random ones from three seeds. The checks were checked: a clock outside the margin gives two holders, an overlooked gap gives missing entries; both are found.

--- a/bench/src/main/java/org/landingtrack/bench/Deployment.java
+++ b/bench/src/main/java/org/landingtrack/bench/Deployment.java
@@ -15,6 +15,7 @@
  */
 package org.landingtrack.bench;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.ByteArrayOutputStream;
@@ -24,7 +25,6 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -35,10 +35,8 @@
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
 import okhttp3.Response;
-import org.landingtrack.internal.base.Hashes;
 import org.landingtrack.internal.base.Json;
 import org.landingtrack.internal.cli.CommandLineProgram;
-import org.landingtrack.internal.tls.CertificateIssuer;
 import org.landingtrack.standins.EngineOptions;
 import org.landingtrack.standins.EngineServer;
 import org.landingtrack.standins.ObjectApiServer;
@@ -58,13 +56,11 @@
   /** The service of type plain. */
   public static final String PORTAL = "portal";
 
-  private static final String OPERATOR_KEY = "operator";
-  private static final String DATA_CENTRE = "dc-1";
   private static final long READY_S = 60;
-  private static final int CERTIFICATE_DAYS = 10;
 
   private final DeploymentPlan plan;
   private final Path folder;
+  private final SettingsFiles files;
   private final ObjectApiServer objectApi = new ObjectApiServer(0);
   private final VmListServer vmList = new VmListServer(0);
   private final WeightStore weightStore = new WeightStore();
@@ -85,6 +81,7 @@
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
+    this.files = new SettingsFiles(plan, folder);
   }
 
   /** Starts a deployment with its configuration in force. */
@@ -100,9 +97,6 @@
   }
 
   private void startAll() {
-    if (plan.tls()) {
-      CertificateIssuer.newAuthority(folder.resolve("authority"), CERTIFICATE_DAYS);
-    }
     for (int i = 0; i < plan.engines(); i++) {
       engines.add(new EngineServer(0, plan.engine(), weightStore));
     }
@@ -138,79 +132,27 @@
   }
 
   private ChildProcess startController(int index) {
-    ObjectNode settings = common("controller", index);
-    ObjectNode ports = settings.putObject("ports");
-    ports.put("peer", peerPorts.get(index)).put("operators", 0).put("http", 0);
-    settings.putObject("platform").put("objectApi", objectApi.url()).put("vmList", vmList.url());
-    ArrayNode seeds = settings.putArray("seeds");
-    for (int i = 0; i < peerPorts.size(); i++) {
-      if (i != index && peerPorts.get(i) != 0) {
-        seeds.add("127.0.0.1:" + peerPorts.get(i));
-      }
-    }
-    settings
-        .putArray("operators")
-        .add("tester:writer:" + Hashes.sha256Hex(OPERATOR_KEY))
-        .add("looker:reader:" + Hashes.sha256Hex("reader"));
-    settings.putObject("membership").put("probeMs", plan.probeMs());
-    return launch("controller", index, settings);
+    Path file = files.controller(index, peerPorts, objectApi.url(), vmList.url());
+    return launch("controller", index, file);
   }
 
   private ChildProcess startGateway(int index) {
-    ObjectNode settings = common("gateway", index);
-    settings.putObject("callers").put("port", callerPorts.get(index));
-    ArrayNode addresses = settings.putArray("controllers");
-    for (int i = 0; i < peerPorts.size(); i++) {
-      addresses.add("127.0.0.1:" + peerPorts.get((index + i) % peerPorts.size()));
-    }
-    settings.putObject("routing").put("policy", plan.policy()).put("seed", plan.seed());
-    return launch("gateway", index, settings);
-  }
-
-  private ObjectNode common(String process, int index) {
-    ObjectNode settings = Json.LENIENT.createObjectNode();
-    settings.put("process", process).put("vm", "entry-" + index).put("dataCentre", DATA_CENTRE);
-    if (plan.tls()) {
-      String own = process + "-" + index + "-tls";
-      if (!Files.exists(folder.resolve(own))) {
-        issue(own, CERTIFICATE_DAYS);
-      }
-      settings
-          .putObject("tls")
-          .put("certificate", own + "/" + CertificateIssuer.CERTIFICATE)
-          .put("privateKey", own + "/" + CertificateIssuer.PRIVATE_KEY)
-          .put("authority", own + "/" + CertificateIssuer.AUTHORITY);
-    }
-    return settings;
+    return launch("gateway", index, files.gateway(index, callerPorts.get(index), peerPorts));
   }
 
-  private void issue(String name, int days) {
-    CertificateIssuer.issue(
-        folder.resolve("authority"), name, List.of("127.0.0.1"), days, folder.resolve(name));
+  private ChildProcess launch(String process, int index, Path settings) {
+    Path log = folder.resolve(process + "-" + index + ".log");
+    return ChildProcess.start(log, process, "--settings", settings.toString());
   }
 
   /** Replaces the certificate of a process, its parts one after another. */
   public void renewCertificate(String process, int index, int days) throws IOException {
-    String own = process + "-" + index + "-tls";
-    String next = own + "-" + days;
-    issue(next, days);
-    for (String file : List.of(CertificateIssuer.CERTIFICATE, CertificateIssuer.PRIVATE_KEY)) {
-      Files.move(
-          folder.resolve(next).resolve(file),
-          folder.resolve(own).resolve(file),
-          StandardCopyOption.REPLACE_EXISTING);
-    }
+    files.renewCertificate(process, index, days);
   }
 
-  private ChildProcess launch(String process, int index, ObjectNode settings) {
-    Path file = folder.resolve(process + "-" + index + ".json");
-    try {
-      Files.writeString(file, settings.toString());
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-    Path log = folder.resolve(process + "-" + index + ".log");
-    return ChildProcess.start(log, process, "--settings", file.toString());
+  /** Returns the certificate of an authority in the deployment's folder. */
+  public Path authority(String name) {
+    return files.authority(name);
   }
 
   /** Puts the entry VMs and the named leaving backend servers on the VM list. */
@@ -220,7 +162,7 @@
       vms.addObject()
           .put("name", "entry-" + i)
           .put("role", "entry")
-          .put("data_centre", DATA_CENTRE)
+          .put("data_centre", SettingsFiles.DATA_CENTRE)
           .put("region", "default")
           .put("address", "127.0.0.1:" + peerPorts.get(i))
           .put("state", "live");
@@ -229,7 +171,7 @@
       vms.addObject()
           .put("name", server)
           .put("role", "backend-server")
-          .put("data_centre", DATA_CENTRE)
+          .put("data_centre", SettingsFiles.DATA_CENTRE)
           .put("state", "leaving");
     }
     vmList.set(vms);
@@ -270,7 +212,7 @@
         .putObject("spec")
         .put("service", service)
         .put("address", address)
-        .put("dataCentre", DATA_CENTRE)
+        .put("dataCentre", SettingsFiles.DATA_CENTRE)
         .put("maxConcurrent", options.maxConcurrent())
         .put("checksFences", options.checksFences())
         .put("draining", false);
@@ -364,7 +306,7 @@
     return -1;
   }
 
-  static com.fasterxml.jackson.databind.JsonNode json(String text) {
+  static JsonNode json(String text) {
     try {
       return Json.LENIENT.readTree(text.isBlank() ? "{}" : text);
     } catch (IOException e) {
@@ -377,12 +319,7 @@
 
   /** Runs {@code ctl} against a controller. */
   public CtlResult ctl(int controller, String... words) {
-    return ctlAs(OPERATOR_KEY, controller, words);
-  }
-
-  /** Returns the certificate of an authority. */
-  public Path authority(String name) {
-    return folder.resolve(name).resolve(CertificateIssuer.CERTIFICATE);
+    return ctlAs(SettingsFiles.OPERATOR_KEY, controller, words);
   }
 
   /** Runs {@code ctl} with another operator's key. */
--- /dev/null
+++ b/landingtrack/src/test/java/org/landingtrack/internal/model/ConfigModelTest.java
@@ -0,0 +1,154 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.model;
+
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.landingtrack.internal.catalog.Kind;
+import org.landingtrack.internal.catalog.StoredEntry;
+import org.landingtrack.internal.config.ConfigDelta;
+import org.landingtrack.internal.config.ConfigEntry;
+import org.landingtrack.internal.config.ConfigReplica;
+import org.landingtrack.internal.model.Schedules.Action;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * The platform, a controller that pulls from it and a gateway that pulls from the controller, under
+ * every schedule of writes, pulls, late and crossed answers and restarts: a revision never falls,
+ * and what a replica says it has it does have.
+ */
+public final class ConfigModelTest {
+  private static final List<String> NAMES = List.of("x", "y");
+
+  private static class World implements Schedules.World {
+    private final List<ConfigEntry> history = new ArrayList<>();
+    private final Map<ConfigReplica, Long> revisions = new HashMap<>();
+    private ConfigReplica platform = new ConfigReplica();
+    private ConfigReplica controller = new ConfigReplica();
+    private ConfigReplica gateway = new ConfigReplica();
+    private long capturedAfter;
+    private ConfigDelta captured = new ConfigDelta(0, List.of());
+
+    World() {
+      platform.merge(0, new ConfigDelta(0, List.of()));
+    }
+
+    @Override
+    public List<Action> actions() {
+      return List.of(
+          new Action("x is written", () -> write("x")),
+          new Action("y is written", () -> write("y")),
+          new Action("the controller pulls", () -> pull(platform, controller)),
+          new Action("the gateway pulls", () -> pull(controller, gateway)),
+          new Action("an answer is on its way", this::capture),
+          new Action("it reaches the controller", () -> arrive(controller)),
+          new Action("it reaches the gateway", () -> arrive(gateway)),
+          new Action("the gateway restarts", () -> gateway = new ConfigReplica()));
+    }
+
+    private void write(String name) {
+      long revision = history.size() + 1L;
+      String key = StoredEntry.key(Kind.MODEL, name);
+      String value =
+          "{\"kind\":\"MODEL\",\"name\":\"%s\",\"version\":%d,\"spec\":{\"contextTokens\":%d,\"kvBytesPerToken\":1},\"audit\":[]}"
+              .formatted(name, revision, 1_000 + revision);
+      history.add(new ConfigEntry(key, revision, revision, value));
+      platform.merge(
+          revision - 1, new ConfigDelta(revision, List.of(history.get(history.size() - 1))));
+    }
+
+    private static void pull(ConfigReplica from, ConfigReplica to) {
+      if (from.isComplete()) {
+        to.merge(to.revision(), from.deltaAfter(to.revision()));
+      }
+    }
+
+    private void capture() {
+      capturedAfter = gateway.revision();
+      captured = platform.deltaAfter(capturedAfter);
+    }
+
+    void arrive(ConfigReplica at) {
+      at.merge(capturedAfter, captured);
+    }
+
+    @Override
+    public void check() {
+      for (ConfigReplica replica : List.of(controller, gateway)) {
+        long before = revisions.getOrDefault(replica, 0L);
+        assertTrue(replica.revision() >= before, "the revision fell");
+        revisions.put(replica, replica.revision());
+        NAMES.forEach(name -> checkEntry(replica, name));
+      }
+    }
+
+    private void checkEntry(ConfigReplica replica, String name) {
+      String key = StoredEntry.key(Kind.MODEL, name);
+      long due = 0;
+      for (ConfigEntry entry : history) {
+        if (entry.key().equals(key) && entry.revision() <= replica.revision()) {
+          due = entry.revision();
+        }
+      }
+      Optional<ConfigEntry> held = replica.entry(Kind.MODEL, name);
+      long has = held.map(ConfigEntry::revision).orElse(0L);
+      assertTrue(has >= due, name + " at revision " + has + " instead of " + due);
+    }
+  }
+
+  @Test
+  public void everyShortScheduleNeverReverts() {
+    assertTrue(Schedules.exhaustive(World::new, 5) == 32_768);
+  }
+
+  @DataProvider
+  public Object[][] seeds() {
+    return new Object[][] {{1L}, {2L}, {3L}};
+  }
+
+  @Test(dataProvider = "seeds")
+  public void longSchedulesNeverRevert(long seed) {
+    Schedules.random(World::new, seed, 500, 60);
+  }
+
+  /** Checks the check: an answer taken for one that begins at the replica's own revision. */
+  @Test
+  public void aGapThatIsOverlookedIsFound() {
+    AssertionError found =
+        expectThrows(
+            AssertionError.class,
+            () ->
+                Schedules.random(
+                    () ->
+                        new World() {
+                          @Override
+                          void arrive(ConfigReplica at) {
+                            at.merge(0, super.captured);
+                          }
+                        },
+                    1,
+                    500,
+                    60));
+    assertTrue(String.valueOf(found.getMessage()).contains("instead of"), found.getMessage());
+  }
+}
--- /dev/null
+++ b/landingtrack/src/test/java/org/landingtrack/internal/model/LeaseModelTest.java
@@ -0,0 +1,128 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.model;
+
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import org.landingtrack.internal.base.FakeTicker;
+import org.landingtrack.internal.lease.Lease;
+import org.landingtrack.internal.model.Schedules.Action;
+import org.landingtrack.internal.platform.FakeObjectApi;
+import org.landingtrack.internal.platform.FakeObjectApi.Fault;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Two processes and a lease, under every schedule of steps, restarts, releases, time, lost writes
+ * and outages: never two holders, and no epoch held twice.
+ */
+public final class LeaseModelTest {
+  private static final long DURATION_MS = 1_000;
+
+  /** The second process's clock runs faster by this much, within the lease's margin. */
+  private static final double ALLOWED_DRIFT = 1.05;
+
+  private static final class World implements Schedules.World {
+    private final FakeObjectApi api = new FakeObjectApi();
+    private final FakeTicker clockA = new FakeTicker();
+    private final FakeTicker clockB = new FakeTicker();
+    private final double drift;
+    private final Map<Long, Lease> holderByEpoch = new HashMap<>();
+    private long highestEpoch;
+    private Lease a = new Lease(api, clockA, "duty", "a", DURATION_MS);
+    private Lease b = new Lease(api, clockB, "duty", "b", DURATION_MS);
+    private boolean out;
+
+    World(double drift) {
+      this.drift = drift;
+    }
+
+    @Override
+    public List<Action> actions() {
+      return List.of(
+          new Action("a steps", () -> a.step()),
+          new Action("b steps", () -> b.step()),
+          new Action("0.3 pass", () -> pass(300)),
+          new Action("1.15 pass", () -> pass(1_150)),
+          new Action("a write's answer is lost", () -> api.failWrites(Fault.LOST_ANSWER)),
+          new Action("a write is lost", () -> api.failWrites(Fault.LOST_CALL)),
+          new Action("platform out or back", this::switchOutage),
+          new Action("a releases", () -> a.release()),
+          new Action("a restarts", () -> a = new Lease(api, clockA, "duty", "a", DURATION_MS)));
+    }
+
+    private void switchOutage() {
+      out = !out;
+      api.out(out);
+    }
+
+    private void pass(long ms) {
+      clockA.pass(ms);
+      clockB.pass((long) (ms * drift));
+    }
+
+    @Override
+    public void check() {
+      boolean both = a.token().isPresent() && b.token().isPresent();
+      assertFalse(both, "two holders");
+      noteEpoch(a);
+      noteEpoch(b);
+    }
+
+    private void noteEpoch(Lease lease) {
+      OptionalLong token = lease.token();
+      if (token.isEmpty()) {
+        return;
+      }
+      long epoch = token.getAsLong();
+      Lease before = holderByEpoch.putIfAbsent(epoch, lease);
+      assertTrue(before == null || before == lease, "epoch " + epoch + " is held twice");
+      assertTrue(epoch >= highestEpoch, "epoch " + epoch + " after " + highestEpoch);
+      highestEpoch = epoch;
+    }
+  }
+
+  @Test
+  public void everyShortScheduleKeepsOneHolder() {
+    int schedules = Schedules.exhaustive(() -> new World(ALLOWED_DRIFT), 6);
+    assertTrue(schedules == 531_441, "schedules: " + schedules);
+  }
+
+  @DataProvider
+  public Object[][] seeds() {
+    return new Object[][] {{1L}, {2L}, {3L}};
+  }
+
+  @Test(dataProvider = "seeds")
+  public void longSchedulesKeepOneHolder(long seed) {
+    Schedules.random(() -> new World(ALLOWED_DRIFT), seed, 2_000, 60);
+  }
+
+  /** Checks the check: with a clock far outside the margin the exploration finds two holders. */
+  @Test
+  public void aClockOutsideTheMarginIsFound() {
+    AssertionError found =
+        expectThrows(
+            AssertionError.class, () -> Schedules.random(() -> new World(4), 1, 2_000, 60));
+    assertTrue(String.valueOf(found.getMessage()).contains("two holders"), found.getMessage());
+  }
+}
