--- a/bench/src/main/java/org/landingtrack/bench/Deployment.java
+++ b/bench/src/main/java/org/landingtrack/bench/Deployment.java
@@ -37,7 +37,6 @@
 import okhttp3.Response;
 import org.landingtrack.internal.base.Json;
 import org.landingtrack.internal.cli.CommandLineProgram;
-import org.landingtrack.standins.EngineOptions;
 import org.landingtrack.standins.EngineServer;
 import org.landingtrack.standins.ObjectApiServer;
 import org.landingtrack.standins.PlainServer;
@@ -162,7 +161,7 @@
       vms.addObject()
           .put("name", "entry-" + i)
           .put("role", "entry")
-          .put("data_centre", SettingsFiles.DATA_CENTRE)
+          .put("data_centre", plan.dataCentre(i))
           .put("region", "default")
           .put("address", "127.0.0.1:" + peerPorts.get(i))
           .put("state", "live");
@@ -171,7 +170,7 @@
       vms.addObject()
           .put("name", server)
           .put("role", "backend-server")
-          .put("data_centre", SettingsFiles.DATA_CENTRE)
+          .put("data_centre", plan.dataCentre(0))
           .put("state", "leaving");
     }
     vmList.set(vms);
@@ -182,14 +181,13 @@
     ArrayNode objects = file.putArray("objects");
     plan.objects().forEach(objects::add);
     for (int i = 0; i < engines.size(); i++) {
-      objects.add(server("engine-" + i, LLM, engines.get(i).address(), plan.engine()));
+      objects.add(server("engine-" + i, LLM, engines.get(i).address(), i));
     }
     for (int i = 0; i < stores.size(); i++) {
-      objects.add(server("store-" + i, "kept", stores.get(i).address(), plan.engine()));
+      objects.add(server("store-" + i, "kept", stores.get(i).address(), i));
     }
     for (int i = 0; i < plains.size(); i++) {
-      objects.add(
-          server("portal-" + i, PORTAL, "127.0.0.1:" + plains.get(i).port(), plan.engine()));
+      objects.add(server("portal-" + i, PORTAL, "127.0.0.1:" + plains.get(i).port(), i));
     }
     Path path = folder.resolve("objects.json");
     try {
@@ -204,17 +202,16 @@
     }
   }
 
-  private static ObjectNode server(
-      String name, String service, String address, EngineOptions options) {
+  private ObjectNode server(String name, String service, String address, int index) {
     ObjectNode object = Json.LENIENT.createObjectNode();
     object.put("kind", "backend-server").put("name", name);
     object
         .putObject("spec")
         .put("service", service)
         .put("address", address)
-        .put("dataCentre", SettingsFiles.DATA_CENTRE)
-        .put("maxConcurrent", options.maxConcurrent())
-        .put("checksFences", options.checksFences())
+        .put("dataCentre", plan.dataCentre(index))
+        .put("maxConcurrent", plan.engine().maxConcurrent())
+        .put("checksFences", plan.engine().checksFences())
         .put("draining", false);
     return object;
   }
--- a/bench/src/main/java/org/landingtrack/bench/DeploymentPlan.java
+++ b/bench/src/main/java/org/landingtrack/bench/DeploymentPlan.java
@@ -77,6 +77,11 @@
     return builder.probeMs;
   }
 
+  /** Returns the data centre of the VM or backend server with a number; they take turns. */
+  String dataCentre(int index) {
+    return "dc-" + (1 + index % builder.dataCentres);
+  }
+
   boolean tls() {
     return builder.tls;
   }
@@ -154,6 +159,7 @@
     private long seed = 1;
     private long probeMs = 200;
     private boolean tls;
+    private int dataCentres = 1;
     private int maxQueue = 200;
     private double weightTtft = 1;
     private double weightRecompute = 0.002;
@@ -215,6 +221,12 @@
       return this;
     }
 
+    /** Spreads VMs and backend servers over so many data centres, in turn. */
+    public Builder setDataCentres(int number) {
+      dataCentres = number;
+      return this;
+    }
+
     /** Lets processes and operators talk by TLS only. */
     public Builder setTls(boolean on) {
       tls = on;
--- a/bench/src/main/java/org/landingtrack/bench/SettingsFiles.java
+++ b/bench/src/main/java/org/landingtrack/bench/SettingsFiles.java
@@ -30,7 +30,6 @@
 /** Writes the settings and certificates of a deployment's processes into its folder. */
 final class SettingsFiles {
   static final String OPERATOR_KEY = "operator";
-  static final String DATA_CENTRE = "dc-1";
   private static final String AUTHORITY = "authority";
   private static final int CERTIFICATE_DAYS = 10;
 
@@ -79,7 +78,10 @@
 
   private ObjectNode common(String process, int index) {
     ObjectNode settings = Json.LENIENT.createObjectNode();
-    settings.put("process", process).put("vm", "entry-" + index).put("dataCentre", DATA_CENTRE);
+    settings
+        .put("process", process)
+        .put("vm", "entry-" + index)
+        .put("dataCentre", plan.dataCentre(index));
     if (plan.tls()) {
       String own = process + "-" + index + "-tls";
       if (!Files.exists(folder.resolve(own))) {
--- a/bench/src/test/java/org/landingtrack/bench/ConfigProcessTest.java
+++ b/bench/src/test/java/org/landingtrack/bench/ConfigProcessTest.java
@@ -23,6 +23,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 import org.landingtrack.bench.CallerClient.Answer;
 import org.landingtrack.internal.base.Json;
 import org.testng.annotations.AfterClass;
@@ -99,6 +100,41 @@
     assertEquals(audit.lines().count(), 1, audit);
   }
 
+  @DataProvider
+  public Object[][] platformTroubles() {
+    return new Object[][] {
+      // faults of the Object API, fault of the VM list
+      {Map.of("slowMs", 400.0), ""},
+      {Map.of("tooOld", 6.0), ""},
+      {Map.of("slowMs", 200.0, "lostAnswers", 2.0), ""},
+      {Map.of("tooOld", 4.0, "slowMs", 100.0), "out"},
+      {Map.of(), "out"},
+    };
+  }
+
+  /** A slow platform, watches that fell behind and a VM list that is out delay a change at most. */
+  @Test(dataProvider = "platformTroubles")
+  public void aTroubledPlatformLosesNoChange(Map<String, Double> faults, String vmListFault)
+      throws Exception {
+    String name = "troubled-" + faults.hashCode() + vmListFault;
+    faults.forEach((fault, value) -> deployment.objectApi().faults().set(fault, value));
+    if (!vmListFault.isEmpty()) {
+      deployment.vmList().faults().set(vmListFault, 1);
+    }
+    try {
+      for (int tokens = 1; tokens <= 3; tokens++) {
+        Deployment.CtlResult result = put(tokens, name, tokens);
+        assertEquals(result.code(), 0, result.text());
+      }
+      awaitEverywhere(name, 3);
+      Answer answer = Calls.client().ask(deployment.gatewayUrl(0), Calls.ask("troubled", 3));
+      assertTrue(answer.whole(), answer.toString());
+    } finally {
+      faults.keySet().forEach(fault -> deployment.objectApi().faults().set(fault, 0));
+      deployment.vmList().faults().set("out", 0);
+    }
+  }
+
   @Test
   public void racingOperatorsLoseNothingThatWasAccepted() throws Exception {
     put(0, "raced", 1);
--- a/standins/src/main/java/org/landingtrack/standins/ObjectApiServer.java
+++ b/standins/src/main/java/org/landingtrack/standins/ObjectApiServer.java
@@ -138,6 +138,10 @@
   }
 
   private void watch(Context ctx) throws InterruptedException {
+    if (faults.takeOne("tooOld")) {
+      ctx.status(410).result("{}");
+      return;
+    }
     long after = Long.parseLong(param(ctx, "after", "0"));
     long waitMs = Math.min(30_000, Long.parseLong(param(ctx, "waitMs", "0")));
     Listing listing = store.watch(param(ctx, "prefix", ""), after, waitMs);
