Weight loads leave the capacity that is needed; a dead engine no longer blocks a swap

Cause, by reading RollPlan: loads were rationed by number only, so a busy service lost a quarter of its engines; and an engine that did not answer counted as loading for ever: with 4 engines, one of them dead, a swap never began. Change: loads take no more engines than the requests that run now can spare at 0.8 of the places; a swap without progress for 10 s goes on with one engine at a time. Ruled out: ceil instead of round for the engines needed (a lone engine with one request would have waited 10 s; RollPlanTest.loadsAreRationed says that it loads at once). Tests: RollPlanTest.loadsLeaveTheCapacityThatIsNeeded, 10 cases; the dead engine's case gave 0 for ever before.

--- a/landingtrack/src/main/java/org/landingtrack/internal/weights/RollPlan.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/weights/RollPlan.java
@@ -22,8 +22,10 @@
 /**
  * Which engines load a new weight version next. Does no I/O.
  *
- * <p>Loads are rationed: at most {@link #MAX_LOADS} at once, since more make each other slower, and
- * never more than a quarter of a service's engines, so that the rest carry the demand.
+ * <p>Loads are rationed: at most {@link #MAX_LOADS} at once, since more make each other slower,
+ * never more than a quarter of a service's engines, and never so many that the rest could not carry
+ * the requests that run now. A swap that could not go on for a while goes on with one engine at a
+ * time all the same: old weights must not stay for ever because of load or of a dead engine.
  */
 public final class RollPlan {
   /** Loads that run at once without slowing each other down. */
@@ -31,6 +33,9 @@
 
   private static final int LARGEST_SHARE = 4;
 
+  /** Share of its places that an engine is loaded with while others are away. */
+  private static final double FULLEST = 0.8;
+
   private RollPlan() {}
 
   /**
@@ -41,19 +46,40 @@
   public record EngineState(
       String name, boolean reachable, String version, boolean loading, int running) {}
 
-  /** Returns the engines to give the order to now, the least busy first. */
-  public static List<String> next(List<EngineState> engines, String target, int loadsElsewhere) {
+  /**
+   * What a service's engines have to do.
+   *
+   * @param places requests that one engine runs at once
+   * @param overdue true if the swap could not go on for a while
+   */
+  public record Demand(int places, boolean overdue) {}
+
+  /**
+   * Returns the engines to give the order to now, the least busy first.
+   *
+   * @param loadsElsewhere loads of other services that are under way
+   */
+  public static List<String> next(
+      List<EngineState> engines, String target, int loadsElsewhere, Demand demand) {
     int atOnce = Math.max(1, Math.min(MAX_LOADS, engines.size() / LARGEST_SHARE));
     int loading = 0;
+    int silent = 0;
     List<EngineState> waiting = new ArrayList<>();
     for (EngineState engine : engines) {
-      if (!engine.reachable() || engine.loading()) {
+      if (!engine.reachable()) {
+        silent++;
+      } else if (engine.loading()) {
         loading++;
       } else if (!engine.version().equals(target)) {
         waiting.add(engine);
       }
     }
-    int free = Math.min(atOnce - loading, MAX_LOADS - loading - loadsElsewhere);
+    int away = loading + silent;
+    int free = Math.min(atOnce - away, MAX_LOADS - away - loadsElsewhere);
+    free = Math.min(free, spare(engines, away, demand.places()));
+    if (demand.overdue() && loading == 0 && loadsElsewhere < MAX_LOADS) {
+      free = Math.max(1, free);
+    }
     waiting.sort(Comparator.comparingInt(EngineState::running).thenComparing(EngineState::name));
     List<String> next = new ArrayList<>();
     for (EngineState engine : waiting) {
@@ -64,4 +90,17 @@
     }
     return next;
   }
+
+  /**
+   * Engines that the requests which run now can do without; less than half an engine's worth of
+   * requests can wait, so that a lone engine with little to do loads at once.
+   */
+  private static int spare(List<EngineState> engines, int away, int places) {
+    int running = 0;
+    for (EngineState engine : engines) {
+      running += engine.running();
+    }
+    int needed = (int) Math.round(running / (FULLEST * Math.max(1, places)));
+    return engines.size() - away - needed;
+  }
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/weights/WeightRoller.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/weights/WeightRoller.java
@@ -49,6 +49,9 @@
   /** The lease lasts for many more steps than these; each renewal costs the platform two calls. */
   private static final int STEPS_PER_RENEWAL = 3;
 
+  /** A swap that could not go on for so long goes on with one engine at a time. */
+  private static final long OVERDUE_MS = 10_000;
+
   /** A service that is as it should be is looked at only this often. */
   private static final long SETTLED_EVERY_MS = 10_000;
 
@@ -60,10 +63,13 @@
   private final Ticker ticker;
   private final Duty duty = Duty.start("weights", 4);
   private final Map<String, Settled> settled = new HashMap<>();
+  private final Map<String, Progress> progressed = new HashMap<>();
   private long steps;
   private long heldEpoch = -1;
   private long heldSinceMs;
 
+  private record Progress(String version, long atMs) {}
+
   private record Settled(String version, int engines, long atMs) {}
 
   /**
@@ -143,15 +149,30 @@
       settled.put(name, new Settled(target, engines.size(), ticker.millis()));
       return 0;
     }
-    for (String next : RollPlan.next(states, target, loadsElsewhere)) {
+    boolean overdue = isOverdue(name, target);
+    RollPlan.Demand demand = new RollPlan.Demand(engines.get(0).spec().maxConcurrent(), overdue);
+    for (String next : RollPlan.next(states, target, loadsElsewhere, demand)) {
       NamedBackendServer engine = byName.get(next);
       if (engine != null && order(engine, target)) {
         loading++;
       }
     }
+    if (loading > 0) {
+      progressed.put(name, new Progress(target, ticker.millis()));
+    }
     return loading;
   }
 
+  /** Returns true if the swap to a version has not gone on for a while. */
+  private boolean isOverdue(String name, String target) {
+    Progress last = progressed.get(name);
+    if (last == null || !last.version.equals(target)) {
+      progressed.put(name, new Progress(target, ticker.millis()));
+      return false;
+    }
+    return ticker.millis() - last.atMs >= OVERDUE_MS;
+  }
+
   private List<NamedBackendServer> enginesHere(String service) {
     List<NamedBackendServer> here = new ArrayList<>();
     for (NamedBackendServer server : catalog.get().servers(service)) {
--- a/landingtrack/src/test/java/org/landingtrack/internal/weights/RollPlanTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/weights/RollPlanTest.java
@@ -24,6 +24,8 @@
 import org.testng.annotations.Test;
 
 public final class RollPlanTest {
+  private static final RollPlan.Demand QUIET = new RollPlan.Demand(64, false);
+
   private static List<EngineState> engines(int old, int loading, int done, int silent) {
     List<EngineState> engines = new ArrayList<>();
     for (int i = 0; i < old; i++) {
@@ -61,12 +63,42 @@
   @Test(dataProvider = "plans")
   public void loadsAreRationed(
       int old, int loading, int done, int silent, int elsewhere, int expected) {
-    List<String> next = RollPlan.next(engines(old, loading, done, silent), "v2", elsewhere);
+    List<String> next = RollPlan.next(engines(old, loading, done, silent), "v2", elsewhere, QUIET);
     assertEquals(next.size(), expected);
   }
 
   @Test
   public void theLeastBusyGoesFirst() {
-    assertEquals(RollPlan.next(engines(4, 0, 0, 0), "v2", 0), List.of("old-3"));
+    assertEquals(RollPlan.next(engines(4, 0, 0, 0), "v2", 0, QUIET), List.of("old-3"));
+  }
+
+  @DataProvider
+  public Object[][] demands() {
+    return new Object[][] {
+      // engines, running on each of its 10 places, dead ones, overdue, loads expected
+      {12, 0, 0, false, 3},
+      {12, 5, 0, false, 3},
+      {12, 6, 0, false, 3},
+      {12, 7, 0, false, 1},
+      {12, 8, 0, false, 0},
+      {12, 10, 0, false, 0},
+      {12, 10, 0, true, 1},
+      {4, 1, 1, false, 0},
+      {4, 1, 1, true, 1},
+      {12, 0, 3, true, 1},
+    };
+  }
+
+  /** The rest must carry what runs now; but neither load nor dead engines keep old weights. */
+  @Test(dataProvider = "demands")
+  public void loadsLeaveTheCapacityThatIsNeeded(
+      int engines, int running, int dead, boolean overdue, int expected) {
+    List<EngineState> states = new ArrayList<>();
+    for (int i = 0; i < engines; i++) {
+      boolean alive = i >= dead;
+      states.add(new EngineState("e" + i, alive, alive ? "v1" : "", false, alive ? running : 0));
+    }
+    List<String> next = RollPlan.next(states, "v2", 0, new RollPlan.Demand(10, overdue));
+    assertEquals(next.size(), expected);
   }
 }
