--- /dev/null
+++ b/bench/src/test/java/org/landingtrack/bench/TeamShareProcessTest.java
@@ -0,0 +1,77 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.bench;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.landingtrack.bench.CallerClient.Answer;
+import org.testng.annotations.Test;
+
+/** A team whose callers come through one VM gets more than an equal share of its limit there. */
+public final class TeamShareProcessTest {
+  private static final int GATEWAYS = 3;
+  private static final int RATE = 30;
+  private static final String SHARE = "team_share{team=\"" + Calls.TEAM + "\"}";
+
+  @Test
+  public void aShareFollowsTheTrafficAndEndsWithTheControllers() throws Exception {
+    DeploymentPlan plan =
+        new DeploymentPlan.Builder()
+            .setControllers(GATEWAYS)
+            .setGateways(GATEWAYS)
+            .setTeamRate(RATE)
+            .build();
+    AtomicBoolean stop = new AtomicBoolean();
+    ExecutorService threads = Executors.newCachedThreadPool();
+    try (Deployment deployment = Deployment.start(plan)) {
+      List<Future<?>> callers = new ArrayList<>();
+      for (int i = 0; i < 4; i++) {
+        callers.add(threads.submit(() -> askUntil(deployment, stop)));
+      }
+      String gateway = deployment.gatewayUrl(0);
+      Deployment.await("more than an equal share", () -> deployment.metric(gateway, SHARE) > 0.5);
+      for (int i = 0; i < GATEWAYS; i++) {
+        deployment.controller(i).kill();
+      }
+      Deployment.await("an equal share again", () -> deployment.metric(gateway, SHARE) < 0);
+      stop.set(true);
+      for (Future<?> caller : callers) {
+        caller.get(60, TimeUnit.SECONDS);
+      }
+      threads.shutdown();
+    }
+  }
+
+  /** Every answer is whole or a true refusal by the team's rate. */
+  private static void askUntil(Deployment deployment, AtomicBoolean stop) {
+    CallerClient client = Calls.client();
+    for (int i = 0; !stop.get(); i++) {
+      Answer answer = client.ask(deployment.gatewayUrl(0), Calls.ask("share " + i, 1));
+      if (!answer.whole()) {
+        assertEquals(answer.kind(), "RATE_LIMITED", answer.toString());
+        assertTrue(answer.ran().equals("not-run"), answer.toString());
+      }
+    }
+  }
+}
--- a/landingtrack/src/main/java/org/landingtrack/internal/admission/TeamLimiter.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/admission/TeamLimiter.java
@@ -18,6 +18,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import org.landingtrack.ErrorKind;
 import org.landingtrack.LandingtrackException;
@@ -142,6 +143,21 @@
     }
   }
 
+  /** Returns the shares of teams' limits that are granted now. */
+  public Map<String, Double> grantedShares() {
+    long now = ticker.millis();
+    Map<String, Double> shares = new TreeMap<>();
+    states.forEach(
+        (name, state) -> {
+          synchronized (state) {
+            if (now < state.grantedUntilMs) {
+              shares.put(name, state.granted);
+            }
+          }
+        });
+    return shares;
+  }
+
   /** Takes a share that the team's owner granted; it holds until the owner's memory of it ends. */
   public void granted(String name, double share) {
     State state = states.get(name);
--- a/landingtrack/src/main/java/org/landingtrack/internal/gateway/GatewayProcess.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/gateway/GatewayProcess.java
@@ -41,6 +41,7 @@
   private final Gauge running;
   private final Gauge waiting;
   private final Gauge limits;
+  private final Gauge granted;
   private final CountDownLatch stopped = new CountDownLatch(1);
 
   private GatewayProcess(GatewaySettings settings, GatewayComponent parts) {
@@ -65,6 +66,13 @@
     this.teamShares = new TeamShares(settings.vm(), parts.limiter(), parts.peers());
     this.running = serviceGauge("running", "Requests of a service that run.");
     this.waiting = serviceGauge("waiting", "Requests of a service that wait for their turn.");
+    this.granted =
+        parts
+            .metrics()
+            .gauge(
+                "landingtrack_team_share",
+                "Granted part of a team's limit; without one it is equal.",
+                "team");
     this.limits = serviceGauge("limit", "Requests of a service that may run at once.");
     this.http =
         HttpServers.start(
@@ -100,6 +108,8 @@
     List<MemberInfo> controllers = parts.link().allControllers();
     parts.gates().sharedBy(Math.max(1, controllers.size()));
     teamShares.refresh(controllers);
+    granted.clear();
+    parts.limiter().grantedShares().forEach((team, part) -> granted.labelValues(team).set(part));
     parts.gates().state().forEach(this::report);
     parts.servers().leaving(parts.link().leaving());
     parts.servers().retain(parts.replica().catalog());
