--- a/standins/src/main/java/org/landingtrack/standins/EngineServer.java
+++ b/standins/src/main/java/org/landingtrack/standins/EngineServer.java
@@ -21,9 +21,6 @@
 import io.javalin.Javalin;
 import io.javalin.http.Context;
 import java.io.IOException;
-import java.io.OutputStream;
-import java.io.UncheckedIOException;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -72,6 +69,7 @@
   private final AtomicInteger staleOrders = new AtomicInteger();
   private final AtomicLong promptTokens = new AtomicLong();
   private final AtomicLong cachedTokens = new AtomicLong();
+  private final StreamWriter writer = new StreamWriter(faults, queuedTokens, running);
   private final Javalin http;
   private volatile String weightVersion;
   private volatile boolean loading;
@@ -177,7 +175,7 @@
     cache.pin(keys, ACCEPTED_PIN_MS);
     queued.incrementAndGet();
     executor.execute(() -> run(stream, body, keys, wanted, from));
-    follow(ctx, stream, from);
+    writer.follow(ctx, stream, from);
   }
 
   private void forgetOldStreams() {
@@ -280,75 +278,7 @@
       ctx.status(404).result("no such stream");
       return;
     }
-    follow(ctx, stream, Integer.parseInt(param(ctx, "from", "0")));
-  }
-
-  private void follow(Context ctx, EngineStream stream, int from)
-      throws IOException, InterruptedException {
-    boolean cut = faults.on("cutAfter") && faults.takeOne("cutOnce");
-    ctx.res().setContentType("text/event-stream");
-    OutputStream out = ctx.res().getOutputStream();
-    ctx.res().flushBuffer();
-    for (int offset = from; ; offset++) {
-      @Nullable String token = stream.token(offset);
-      if (token == null) {
-        break;
-      }
-      if (cut && offset - from >= faults.of("cutAfter")) {
-        throw new UncheckedIOException(new IOException("cut on purpose"));
-      }
-      if (faults.on("missToken") && offset == 2 && faults.takeOne("missToken")) {
-        continue;
-      }
-      send(out, chunk(stream, offset, token).toString());
-    }
-    if (!stream.isWhole()) {
-      ObjectNode error = Json.LENIENT.createObjectNode();
-      send(out, error.put("attempt", stream.attempt()).put("error", stream.error()).toString());
-      return;
-    }
-    send(out, usage(stream).toString());
-    if (!faults.takeOne("noEndMark")) {
-      send(out, "[DONE]");
-    }
-  }
-
-  private ObjectNode chunk(EngineStream stream, int offset, String token) {
-    ObjectNode chunk = Json.LENIENT.createObjectNode();
-    String attempt = faults.takeOne("wrongAttempt") ? "another" : stream.attempt();
-    chunk.put("attempt", attempt).put("offset", offset);
-    chunk.putArray("choices").addObject().putObject("delta").put("content", token);
-    if (offset == 0) {
-      addLoad(chunk);
-    }
-    return chunk;
-  }
-
-  private void addLoad(ObjectNode chunk) {
-    if (!faults.on("loadLag")) {
-      chunk
-          .putObject("load")
-          .put("queued_tokens", queuedTokens.get())
-          .put("running", running.get());
-    }
-  }
-
-  private ObjectNode usage(EngineStream stream) {
-    int[] used = stream.usage();
-    ObjectNode chunk = Json.LENIENT.createObjectNode();
-    chunk.put("attempt", stream.attempt());
-    addLoad(chunk);
-    chunk
-        .putObject("usage")
-        .put("prompt_tokens", used[0])
-        .put("cached_tokens", used[1])
-        .put("completion_tokens", used[2]);
-    return chunk;
-  }
-
-  private static void send(OutputStream out, String data) throws IOException {
-    out.write(("data: " + data + "\n\n").getBytes(StandardCharsets.UTF_8));
-    out.flush();
+    writer.follow(ctx, stream, Integer.parseInt(param(ctx, "from", "0")));
   }
 
   private void cancel(Context ctx) {
--- /dev/null
+++ b/standins/src/main/java/org/landingtrack/standins/StreamWriter.java
@@ -0,0 +1,109 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.standins;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.javalin.http.Context;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.jspecify.annotations.Nullable;
+import org.landingtrack.internal.base.Json;
+
+/** Sends an engine's streams as server-sent events, with the faults that a stream can have. */
+final class StreamWriter {
+  private final Faults faults;
+  private final AtomicLong queuedTokens;
+  private final AtomicInteger running;
+
+  /** Creates a writer that reports the given load with the answers. */
+  StreamWriter(Faults faults, AtomicLong queuedTokens, AtomicInteger running) {
+    this.faults = faults;
+    this.queuedTokens = queuedTokens;
+    this.running = running;
+  }
+
+  /** Sends a stream from an offset on, until it ends. */
+  void follow(Context ctx, EngineStream stream, int from) throws IOException, InterruptedException {
+    boolean cut = faults.on("cutAfter") && faults.takeOne("cutOnce");
+    ctx.res().setContentType("text/event-stream");
+    OutputStream out = ctx.res().getOutputStream();
+    ctx.res().flushBuffer();
+    for (int offset = from; ; offset++) {
+      @Nullable String token = stream.token(offset);
+      if (token == null) {
+        break;
+      }
+      if (cut && offset - from >= faults.of("cutAfter")) {
+        throw new UncheckedIOException(new IOException("cut on purpose"));
+      }
+      if (faults.on("missToken") && offset == 2 && faults.takeOne("missToken")) {
+        continue;
+      }
+      send(out, chunk(stream, offset, token).toString());
+    }
+    if (!stream.isWhole()) {
+      ObjectNode error = Json.LENIENT.createObjectNode();
+      send(out, error.put("attempt", stream.attempt()).put("error", stream.error()).toString());
+      return;
+    }
+    send(out, usage(stream).toString());
+    if (!faults.takeOne("noEndMark")) {
+      send(out, "[DONE]");
+    }
+  }
+
+  private ObjectNode chunk(EngineStream stream, int offset, String token) {
+    ObjectNode chunk = Json.LENIENT.createObjectNode();
+    String attempt = faults.takeOne("wrongAttempt") ? "another" : stream.attempt();
+    chunk.put("attempt", attempt).put("offset", offset);
+    chunk.putArray("choices").addObject().putObject("delta").put("content", token);
+    if (offset == 0) {
+      addLoad(chunk);
+    }
+    return chunk;
+  }
+
+  private void addLoad(ObjectNode chunk) {
+    if (!faults.on("loadLag")) {
+      chunk
+          .putObject("load")
+          .put("queued_tokens", queuedTokens.get())
+          .put("running", running.get());
+    }
+  }
+
+  private ObjectNode usage(EngineStream stream) {
+    int[] used = stream.usage();
+    ObjectNode chunk = Json.LENIENT.createObjectNode();
+    chunk.put("attempt", stream.attempt());
+    addLoad(chunk);
+    chunk
+        .putObject("usage")
+        .put("prompt_tokens", used[0])
+        .put("cached_tokens", used[1])
+        .put("completion_tokens", used[2]);
+    return chunk;
+  }
+
+  private static void send(OutputStream out, String data) throws IOException {
+    out.write(("data: " + data + "\n\n").getBytes(StandardCharsets.UTF_8));
+    out.flush();
+  }
+}
