A newcomer's reading: the routing query and the probes of processes have classes of their own

Change: RouteQueryFactory puts a decision's inputs together, ProcessProbe asks processes; no behaviour changed.

--- a/bench/src/main/java/org/landingtrack/bench/Deployment.java
+++ b/bench/src/main/java/org/landingtrack/bench/Deployment.java
@@ -32,9 +32,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntFunction;
-import okhttp3.OkHttpClient;
-import okhttp3.Request;
-import okhttp3.Response;
 import org.landingtrack.internal.base.Json;
 import org.landingtrack.internal.cli.CommandLineProgram;
 import org.landingtrack.standins.EngineServer;
@@ -70,8 +67,7 @@
   private final List<ChildProcess> gateways = new ArrayList<>();
   private final List<Integer> peerPorts = new ArrayList<>();
   private final List<Integer> callerPorts = new ArrayList<>();
-  private final OkHttpClient probe =
-      new OkHttpClient.Builder().callTimeout(2, TimeUnit.SECONDS).build();
+  private final ProcessProbe probe = new ProcessProbe();
 
   private Deployment(DeploymentPlan plan) {
     this.plan = plan;
@@ -261,7 +257,7 @@
 
   /** Waits until a gateway is ready. */
   public void awaitReady(int index) {
-    await("gateway " + index + " is ready", () -> isOk(gatewayUrl(index) + "/ready"));
+    await("gateway " + index + " is ready", () -> probe.isOk(gatewayUrl(index) + "/ready"));
   }
 
   /** Waits for a condition; fails after a long time that no verdict rests on. */
@@ -280,27 +276,9 @@
     }
   }
 
-  private boolean isOk(String url) {
-    try (Response response = probe.newCall(new Request.Builder().url(url).build()).execute()) {
-      return response.isSuccessful();
-    } catch (IOException e) {
-      return false;
-    }
-  }
-
   /** Reads one metric of a process; -1 if it does not answer. */
   public double metric(String url, String name) {
-    try (Response response =
-        probe.newCall(new Request.Builder().url(url + "/metrics").build()).execute()) {
-      for (String line : response.body().string().split("\n", -1)) {
-        if (line.startsWith("landingtrack_" + name + " ")) {
-          return Double.parseDouble(line.substring(line.lastIndexOf(' ') + 1));
-        }
-      }
-    } catch (IOException e) {
-      // Not answering is a value of its own.
-    }
-    return -1;
+    return probe.metric(url, name);
   }
 
   static JsonNode json(String text) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/dispatch/ModelRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/dispatch/ModelRun.java
@@ -26,10 +26,6 @@
 import org.landingtrack.LandingtrackException;
 import org.landingtrack.RunState;
 import org.landingtrack.internal.catalog.Catalog;
-import org.landingtrack.internal.catalog.Kind;
-import org.landingtrack.internal.catalog.Model;
-import org.landingtrack.internal.catalog.Service;
-import org.landingtrack.internal.catalog.WeightVersion;
 import org.landingtrack.internal.engine.CompletionCall;
 import org.landingtrack.internal.engine.CompletionOutcome;
 import org.landingtrack.internal.engine.TokenSink;
@@ -38,9 +34,7 @@
 import org.landingtrack.internal.routing.LoadReport;
 import org.landingtrack.internal.routing.RouteDecision;
 import org.landingtrack.internal.routing.RouteOption;
-import org.landingtrack.internal.routing.RouteQuery;
 import org.landingtrack.internal.routing.ServerState;
-import org.landingtrack.internal.routing.ServerView;
 
 /**
  * One request on its way through routing, claim, attempts and resumes. Used by one thread.
@@ -51,17 +45,17 @@
  */
 final class ModelRun implements TokenSink {
   private static final long IDLE_MS = 10_000;
-  private static final double RESTORE_FIXED_MS = 3;
 
   private static final int MAX_ATTEMPTS = 6;
   private static final int MAX_WEIGHT_REFUSALS = 64;
-  private static final int DEFAULT_KV_BYTES_PER_TOKEN = 1_000;
+  private static final int EXPLAINED_OPTIONS = 4;
 
   private final ModelDispatcher parts;
   private final ModelRequest request;
   private final TokenSink caller;
   private final Trace trace;
   private final ServiceGates.Gate gate;
+  private final RouteQueryFactory queries;
   private final Map<String, PrefixChain> chains = new HashMap<>();
   private final Set<String> excluded = new HashSet<>();
   private final long startMs;
@@ -84,6 +78,7 @@
     this.caller = caller;
     this.trace = trace;
     this.gate = parts.gates.gate(request.serviceName(), request.service());
+    this.queries = new RouteQueryFactory(parts, request, gate);
     this.startMs = parts.ticker.millis();
   }
 
@@ -159,7 +154,7 @@
     VersionChoice choice = chooseVersion(catalog);
     String version = choice.version();
     PrefixChain chain = chain(version);
-    RouteDecision decision = parts.policy.decide(query(catalog, chain, choice.servers(), version));
+    RouteDecision decision = parts.policy.decide(queries.query(catalog, chain, choice));
     Optional<RouteOption> chosen = decision.chosen();
     decision.rejected().forEach(trace::say);
     if (chosen.isEmpty()) {
@@ -206,7 +201,7 @@
       String lead = shown == 0 ? "Chosen under weight version " + version + ": " : "Not chosen: ";
       trace.say(lead + option.sentence());
       shown++;
-      if (shown == 4) {
+      if (shown == EXPLAINED_OPTIONS) {
         break;
       }
     }
@@ -236,43 +231,6 @@
         version, v -> PrefixChain.of(request.team(), request.serviceName(), v, request.prompt()));
   }
 
-  private RouteQuery query(
-      Catalog catalog, PrefixChain chain, List<ServerView> views, String version) {
-    Service service = request.service();
-    long budget = gate.links().available(linkRate());
-    RouteQuery.Links links =
-        new RouteQuery.Links(
-            gate.links().bytesPerMs(),
-            budget,
-            gate.links().scarcity(linkRate()),
-            kvBytesPerToken(catalog, version),
-            RESTORE_FIXED_MS);
-    RouteQuery.Weights weights =
-        new RouteQuery.Weights(
-            service.weightTtft(), service.weightRecompute(), service.weightLink());
-    return new RouteQuery(
-        chain,
-        views,
-        parts.holders.holders(request.serviceName(), chain),
-        weights,
-        links,
-        parts.gates.pressure(gate, views.size()),
-        parts.dataCentre,
-        parts.ticker.millis());
-  }
-
-  private double linkRate() {
-    return (double) request.service().linkBytesPerSecond() / parts.gates.gateways();
-  }
-
-  private static int kvBytesPerToken(Catalog catalog, String version) {
-    return catalog
-        .find(Kind.WEIGHT_VERSION, version, WeightVersion.class)
-        .flatMap(v -> catalog.find(Kind.MODEL, v.model(), Model.class))
-        .map(Model::kvBytesPerToken)
-        .orElse(DEFAULT_KV_BYTES_PER_TOKEN);
-  }
-
   private void claimOnce() {
     if (claimed || request.keyHash().isEmpty() || !request.noRepeat()) {
       return;
@@ -292,7 +250,12 @@
     current = state;
     try {
       new KeptRestore(parts, gate.links(), trace)
-          .run(route.option(), route.chain(), address, linkRate(), request.deadlineMs());
+          .run(
+              route.option(),
+              route.chain(),
+              address,
+              queries.linkBytesPerSecond(),
+              request.deadlineMs());
       CompletionCall call = call(route);
       sentMs = parts.ticker.millis();
       deliveredVersion = route.version();
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/dispatch/RouteQueryFactory.java
@@ -0,0 +1,82 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.dispatch;
+
+import org.landingtrack.internal.catalog.Catalog;
+import org.landingtrack.internal.catalog.Kind;
+import org.landingtrack.internal.catalog.Model;
+import org.landingtrack.internal.catalog.Service;
+import org.landingtrack.internal.catalog.WeightVersion;
+import org.landingtrack.internal.kept.LinkBudget;
+import org.landingtrack.internal.prefix.PrefixChain;
+import org.landingtrack.internal.routing.RouteQuery;
+
+/** Puts together what a routing decision for one request is made from. */
+final class RouteQueryFactory {
+  private static final double RESTORE_FIXED_MS = 3;
+  private static final int DEFAULT_KV_BYTES_PER_TOKEN = 1_000;
+
+  private final ModelDispatcher parts;
+  private final ModelRequest request;
+  private final ServiceGates.Gate gate;
+
+  RouteQueryFactory(ModelDispatcher parts, ModelRequest request, ServiceGates.Gate gate) {
+    this.parts = parts;
+    this.request = request;
+    this.gate = gate;
+  }
+
+  /** Returns the query for the servers of one weight version. */
+  RouteQuery query(Catalog catalog, PrefixChain chain, VersionChoice choice) {
+    Service service = request.service();
+    RouteQuery.Weights weights =
+        new RouteQuery.Weights(
+            service.weightTtft(), service.weightRecompute(), service.weightLink());
+    return new RouteQuery(
+        chain,
+        choice.servers(),
+        parts.holders.holders(request.serviceName(), chain),
+        weights,
+        links(catalog, choice.version()),
+        parts.gates.pressure(gate, choice.servers().size()),
+        parts.dataCentre,
+        parts.ticker.millis());
+  }
+
+  private RouteQuery.Links links(Catalog catalog, String version) {
+    LinkBudget links = gate.links();
+    double rate = linkBytesPerSecond();
+    return new RouteQuery.Links(
+        links.bytesPerMs(),
+        links.available(rate),
+        links.scarcity(rate),
+        kvBytesPerToken(catalog, version),
+        RESTORE_FIXED_MS);
+  }
+
+  /** Returns this gateway's share of the link's budget. */
+  double linkBytesPerSecond() {
+    return (double) request.service().linkBytesPerSecond() / parts.gates.gateways();
+  }
+
+  private static int kvBytesPerToken(Catalog catalog, String version) {
+    return catalog
+        .find(Kind.WEIGHT_VERSION, version, WeightVersion.class)
+        .flatMap(v -> catalog.find(Kind.MODEL, v.model(), Model.class))
+        .map(Model::kvBytesPerToken)
+        .orElse(DEFAULT_KV_BYTES_PER_TOKEN);
+  }
+}
