Thin path on the users' platform: one entry process a VM, through platform/

Ruled out: Javalin and OkHttp on the path of requests. Jetty does not notice that a caller left while a backend server works, and OkHttp hides bytes that come after an answer. Netty's HTTP codec is the nearest kin.

--- a/landingtrack/src/main/java/org/landingtrack/internal/base/Logs.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/base/Logs.java
@@ -15,6 +15,7 @@
  */
 package org.landingtrack.internal.base;
 
+import ch.qos.logback.classic.AsyncAppender;
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.encoder.JsonEncoder;
@@ -27,6 +28,9 @@
 
 /** Sets up logging once for a process. The logger's name is the fixed prefix of its part. */
 public final class Logs {
+  /** Lines that may wait for the reader of standard output. */
+  private static final int RING_SIZE = 2_048;
+
   private static final String PATTERN = "%d{HH:mm:ss.SSS} %-5level [%logger] %msg%n";
 
   private Logs() {}
@@ -54,6 +58,39 @@
     }
   }
 
+  /**
+   * Writes lines of JSON to standard output through a bounded ring; a full ring drops lines, so that
+   * nothing that is logged ever waits for a reader.
+   *
+   * @param level a Logback level, for example {@code info}
+   */
+  public static void configureLines(String level) {
+    LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+    context.reset();
+    JsonLineEncoder encoder = new JsonLineEncoder();
+    encoder.setContext(context);
+    encoder.start();
+    ConsoleAppender<ILoggingEvent> console = new ConsoleAppender<>();
+    console.setContext(context);
+    console.setEncoder(encoder);
+    console.start();
+    AsyncAppender ring = new AsyncAppender();
+    ring.setContext(context);
+    ring.setQueueSize(RING_SIZE);
+    ring.setNeverBlock(true);
+    ring.addAppender(console);
+    ring.start();
+    ch.qos.logback.classic.Logger root = context.getLogger(Logger.ROOT_LOGGER_NAME);
+    root.setLevel(Level.toLevel(level, Level.INFO));
+    root.addAppender(ring);
+    context.getLogger("io.netty").setLevel(Level.WARN);
+  }
+
+  /** Writes what still waits, for a moment at most. For the end of a process. */
+  public static void flush() {
+    ((LoggerContext) LoggerFactory.getILoggerFactory()).stop();
+  }
+
   private static Encoder<ILoggingEvent> encoder(String format, LoggerContext context) {
     if (format.equals("json")) {
       JsonEncoder json = new JsonEncoder();
--- a/landingtrack/src/main/java/org/landingtrack/internal/dispatch/RetryBudget.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/dispatch/RetryBudget.java
@@ -20,11 +20,22 @@
   private static final double MAX_SAVED = 20;
   private static final double FIRST_SAVED = 3;
 
-  private double saved = FIRST_SAVED;
+  private final double maxSaved;
+  private double saved;
+
+  public RetryBudget() {
+    this(MAX_SAVED);
+  }
+
+  /** Creates a budget in which no more than so many retries can be saved up. */
+  public RetryBudget(double maxSaved) {
+    this.maxSaved = maxSaved;
+    this.saved = Math.min(FIRST_SAVED, maxSaved);
+  }
 
   /** Notes a request; it earns a share of a retry. */
   public synchronized void request(double percent) {
-    saved = Math.min(MAX_SAVED, saved + percent / 100);
+    saved = Math.min(maxSaved, saved + percent / 100);
   }
 
   /** Takes one retry; returns false if there is none left. */
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/platform/ObjectFeed.java
@@ -0,0 +1,156 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.platform;
+
+import java.util.random.RandomGenerator;
+import org.landingtrack.internal.base.Duty;
+import org.landingtrack.internal.platform.ObjectApi.CallClass;
+import org.landingtrack.internal.platform.ObjectApi.Listing;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Follows all objects under a prefix: lists them once, then watches. After an error it goes on from
+ * the last revision; if the changes since then are gone, it lists again. One thread each.
+ */
+public final class ObjectFeed implements AutoCloseable {
+  private static final Logger log = LoggerFactory.getLogger("store");
+
+  /** First and longest pause after errors; short, since bounds run while the store is away. */
+  private static final long FIRST_PAUSE_MS = 50;
+
+  private static final long MAX_PAUSE_MS = 400;
+  private static final int ALL = Integer.MAX_VALUE;
+
+  private final ObjectApi api;
+  private final String prefix;
+  private final long waitMs;
+  private final Sink sink;
+  private final Backoff backoff;
+  private final Thread thread;
+  private long revision = -1;
+  private boolean lost;
+  private volatile boolean closed;
+
+  /** Hears of what the feed reads, on the feed's thread. */
+  public interface Sink {
+    /** All objects under the prefix as they are now. */
+    void replaced(Listing all);
+
+    /** Objects that changed since; removed ones have no value. */
+    void changed(Listing changes);
+
+    /** The store does not answer; what is known gets old. */
+    void lost();
+
+    /** The store answers again; what was missed has been read. */
+    void regained();
+  }
+
+  /**
+   * Creates a feed.
+   *
+   * @param waitMs how long a watch waits; a broken path is noticed after about so long
+   */
+  public ObjectFeed(
+      ObjectApi api, String prefix, long waitMs, RandomGenerator random, Sink sink) {
+    this.api = api;
+    this.prefix = prefix;
+    this.waitMs = waitMs;
+    this.sink = sink;
+    this.backoff = new Backoff(random, FIRST_PAUSE_MS, MAX_PAUSE_MS);
+    this.thread = Duty.daemon("feed-" + prefix).newThread(this::run);
+  }
+
+  /** Starts following. */
+  public void start() {
+    thread.start();
+  }
+
+  private void run() {
+    while (!closed) {
+      try {
+        step();
+        backoff.reset();
+        noteAnswer();
+      } catch (PlatformException e) {
+        if (e.reason() == PlatformException.Reason.TOO_OLD) {
+          log.info("The store's history of {} is gone since {}; reads all.", prefix, revision);
+          revision = -1;
+          continue;
+        }
+        noteSilence(e);
+        pause();
+      } catch (RuntimeException e) {
+        // What the store holds can't be read; the next version of it may be readable.
+        log.error("The feed of {} failed and goes on: {}.", prefix, e.toString());
+        pause();
+      }
+    }
+  }
+
+  /** Reads once. Visible for tests. */
+  void step() {
+    if (revision < 0) {
+      Listing all = api.list(CallClass.CONFIGURATION, prefix, "", ALL);
+      revision = all.revision();
+      sink.replaced(all);
+      return;
+    }
+    Listing changes = api.watch(CallClass.CONFIGURATION, prefix, revision, waitMs);
+    revision = Math.max(revision, changes.revision());
+    if (!changes.objects().isEmpty()) {
+      sink.changed(changes);
+    }
+  }
+
+  private void noteAnswer() {
+    if (lost) {
+      lost = false;
+      log.atInfo()
+          .addKeyValue("prefix", prefix)
+          .addKeyValue("revision", revision)
+          .log("store regained");
+      sink.regained();
+    }
+  }
+
+  private void noteSilence(PlatformException e) {
+    if (!lost && !closed) {
+      lost = true;
+      log.atWarn()
+          .addKeyValue("prefix", prefix)
+          .addKeyValue("revision", revision)
+          .addKeyValue("why", e.getMessage())
+          .log("store lost");
+      sink.lost();
+    }
+  }
+
+  private void pause() {
+    try {
+      Thread.sleep(backoff.nextMs());
+    } catch (InterruptedException e) {
+      closed = true;
+    }
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+    thread.interrupt();
+  }
+}
--- a/landingtrack/src/main/java/org/landingtrack/internal/platform/StoredObject.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/platform/StoredObject.java
@@ -20,6 +20,22 @@
  *
  * @param version counts the changes of this object, from 1
  * @param revision position of the last change among all changes of the Object API
- * @param value the content, 1 MB at most
+ * @param value the content, 1 MB at most; empty in a watch's answer if the object was removed
  */
-public record StoredObject(String key, long version, long revision, String value) {}
+public record StoredObject(String key, long version, long revision, String value) {
+
+  /** Returns this object as a watch tells of its removal. */
+  public StoredObject removed() {
+    return new StoredObject(key, version, revision, "");
+  }
+
+  /** Returns true if a watch told that the object was removed. */
+  public boolean isRemoved() {
+    return value.isEmpty();
+  }
+
+  /** Returns the key without its prefix. */
+  public String name() {
+    return key.substring(key.indexOf('/') + 1);
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/Backend.java
@@ -0,0 +1,171 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.serving;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.landingtrack.internal.base.Hashes;
+
+/**
+ * A backend server with what this VM has seen of it: requests under way, failures, and which parts
+ * of prompts it probably keeps.
+ */
+final class Backend {
+  /** Failures in a row after which a server gets no requests for a while. */
+  private static final int FAILURES_TO_EJECT = 3;
+
+  private static final long FIRST_EJECTION_MS = 1_000;
+  private static final long MAX_EJECTION_MS = 8_000;
+
+  /** How long a server that was full or loading is passed over if there are others. */
+  private static final long REFUSED_MS = 150;
+
+  /** Share of an engine's memory that parts which this VM sent are assumed to keep. */
+  private static final double KEPT_SHARE = 0.3;
+
+  private ServerEntry entry;
+  private final long idHash;
+  private long goneAtMs = Long.MAX_VALUE;
+  private long leavingAtMs = Long.MAX_VALUE;
+  private int inFlight;
+  private long pendingTokens;
+  private int failures;
+  private int ejections;
+  private long ejectedUntilMs;
+  private long refusedUntilMs;
+  private long keptTokens;
+  private final Map<String, Integer> kept = new LinkedHashMap<>(16, 0.75f, true);
+
+  Backend(ServerEntry entry, long nowMs) {
+    this.entry = entry;
+    this.idHash = Hashes.placement(entry.id());
+    update(entry, nowMs);
+  }
+
+  void update(ServerEntry changed, long nowMs) {
+    entry = changed;
+    goneAtMs = Long.MAX_VALUE;
+    if (changed.leaving()) {
+      leavingAtMs = Math.min(leavingAtMs, nowMs);
+    }
+  }
+
+  ServerEntry entry() {
+    return entry;
+  }
+
+  long idHash() {
+    return idHash;
+  }
+
+  /** Notes that the server's entry was removed. */
+  void removed(long nowMs) {
+    goneAtMs = Math.min(goneAtMs, nowMs);
+  }
+
+  boolean isRemoved() {
+    return goneAtMs != Long.MAX_VALUE;
+  }
+
+  /** Returns how long ago the server began to leave, or its entry went; -1 if neither. */
+  long leavingForMs(long nowMs) {
+    long since = Math.min(goneAtMs, leavingAtMs);
+    return since == Long.MAX_VALUE ? -1 : nowMs - since;
+  }
+
+  boolean isEjected(long nowMs) {
+    return nowMs < ejectedUntilMs;
+  }
+
+  boolean refusedLately(long nowMs) {
+    return nowMs < refusedUntilMs;
+  }
+
+  int inFlight() {
+    return inFlight;
+  }
+
+  long pendingTokens() {
+    return pendingTokens;
+  }
+
+  void sent(long tokens) {
+    inFlight++;
+    pendingTokens += tokens;
+  }
+
+  void prefilled(long tokens) {
+    pendingTokens = Math.max(0, pendingTokens - tokens);
+  }
+
+  void finished() {
+    inFlight--;
+  }
+
+  void succeeded() {
+    failures = 0;
+    ejections = 0;
+  }
+
+  void refused(long nowMs) {
+    refusedUntilMs = nowMs + REFUSED_MS;
+  }
+
+  /** Notes a failure; returns true if the server is ejected by it. */
+  boolean failed(long nowMs) {
+    failures++;
+    if (failures < FAILURES_TO_EJECT) {
+      return false;
+    }
+    failures = 0;
+    long span = Math.min(MAX_EJECTION_MS, FIRST_EJECTION_MS << Math.min(ejections, 4));
+    ejections++;
+    ejectedUntilMs = nowMs + span;
+    return true;
+  }
+
+  /** Returns how many leading tokens of a prompt the server probably keeps. */
+  int keptTokens(String scope, Prompt prompt) {
+    int sum = 0;
+    for (Prompt.Part part : prompt.parts()) {
+      if (!kept.containsKey(scope + '/' + part.key())) {
+        break;
+      }
+      sum += part.tokens();
+    }
+    return sum;
+  }
+
+  /** Notes that the server read a prompt. */
+  void keeps(String scope, Prompt prompt, int cacheTokens) {
+    for (Prompt.Part part : prompt.parts()) {
+      Integer before = kept.put(scope + '/' + part.key(), part.tokens());
+      keptTokens += part.tokens() - (before == null ? 0 : before);
+    }
+    long limit = (long) (cacheTokens * KEPT_SHARE);
+    var eldest = kept.entrySet().iterator();
+    while (keptTokens > limit && eldest.hasNext()) {
+      keptTokens -= eldest.next().getValue();
+      eldest.remove();
+    }
+  }
+
+  /** Forgets all parts, after the server's weights changed. */
+  void forgetParts() {
+    kept.clear();
+    keptTokens = 0;
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/CallerLimits.java
@@ -0,0 +1,23 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.serving;
+
+/** What a caller may send, in bytes, and how long it may take or be idle, in milliseconds. */
+public record CallerLimits(
+    int maxHeaderBytes, int maxBodyBytes, long headerTimeoutMs, long idleTimeoutMs) {
+  /** Until a configuration is known. */
+  public static final CallerLimits DEFAULT = new CallerLimits(16_384, 4_194_304, 3_000, 15_000);
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/DecisionLog.java
@@ -0,0 +1,48 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.serving;
+
+import org.landingtrack.ErrorKind;
+
+/** Hears of each decision that touches a request or changes what this VM believes. */
+public interface DecisionLog {
+  /** A request was given to a backend server. */
+  void routed(RequestRun run, String server, int attempt, int keptTokens, int candidates);
+
+  /** A try ended without an answer for the caller. */
+  void tryFailed(RequestRun run, String server, String outcome, String why);
+
+  /** A request was answered by a backend server, whole or as a stream. */
+  void answered(RequestRun run, String server, int status, long firstMs, long totalMs);
+
+  /** A request got an answer of landingtrack's own. */
+  void refused(RequestRun run, ErrorKind kind, String why, long retryAfterMs);
+
+  /** A request ended otherwise: the caller left, or a stream was broken off. */
+  void cut(RequestRun run, String server, String why);
+
+  /** What is known of a backend server changed. */
+  void server(String change, ServerEntry entry, long revision);
+
+  /** A server gets no requests for a while. */
+  void ejected(String server, String why);
+
+  /** A configuration came into force. */
+  void config(long version, long revision);
+
+  /** Weights of a model were named. */
+  void weights(String model, long version, long revision);
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/EventLoop.java
@@ -0,0 +1,34 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.serving;
+
+import org.landingtrack.internal.base.Ticker;
+
+/** The one thread on which requests are served, with its clock. Tests give a fake one. */
+public interface EventLoop extends Ticker {
+  /** Runs a task on the loop after a delay in milliseconds. */
+  Timer schedule(long delayMs, Runnable task);
+
+  /** Runs a task on the loop soon. Safe to call from any thread. */
+  void execute(Runnable task);
+
+  /** A task that has not run yet. */
+  @FunctionalInterface
+  interface Timer {
+    /** Does nothing if the task ran. */
+    void cancel();
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerBook.java
@@ -0,0 +1,189 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.serving;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The backend servers that this VM knows, from their entries in the platform's store.
+ *
+ * <p>A leaving server gets no new request while others can serve; as a last resort it gets some for
+ * {@code lastResortMs}. An entry that goes while the store is in trouble may only have lapsed: then
+ * the server serves on until the store has been back for {@code lapsedMs}.
+ */
+public final class ServerBook {
+  private final EventLoop loop;
+  private final DecisionLog log;
+  private final long lastResortMs;
+  private final long lapsedMs;
+  private final Map<String, Backend> backends = new HashMap<>();
+  private final Map<String, List<Backend>> byService = new HashMap<>();
+  private boolean known;
+  private long storeBackAtMs;
+
+  /**
+   * Creates an empty book.
+   *
+   * @param lastResortMs how long a leaving server may still get requests
+   * @param lapsedMs how long after the store's return a missing entry may still come back
+   */
+  public ServerBook(EventLoop loop, DecisionLog log, long lastResortMs, long lapsedMs) {
+    this.loop = loop;
+    this.log = log;
+    this.lastResortMs = lastResortMs;
+    this.lapsedMs = lapsedMs;
+    this.storeBackAtMs = -lapsedMs;
+  }
+
+  /** Returns true once the list of servers was read. */
+  public boolean known() {
+    return known;
+  }
+
+  /** Notes that the store answers again after trouble. */
+  public void storeReturned() {
+    storeBackAtMs = loop.millis();
+  }
+
+  /** Takes a full list; servers that it lacks are gone. */
+  public void replaceAll(Collection<ServerEntry> entries, long revision) {
+    known = true;
+    Set<String> listed = new HashSet<>();
+    for (ServerEntry entry : entries) {
+      listed.add(entry.id());
+      put(entry, revision);
+    }
+    for (String id : List.copyOf(backends.keySet())) {
+      if (!listed.contains(id)) {
+        remove(id, revision);
+      }
+    }
+  }
+
+  /** Takes a new or changed entry. */
+  public void put(ServerEntry entry, long revision) {
+    long now = loop.millis();
+    Backend backend = backends.get(entry.id());
+    if (backend == null) {
+      backends.put(entry.id(), new Backend(entry, now));
+      log.server("joined", entry, revision);
+      index();
+      return;
+    }
+    ServerEntry before = backend.entry();
+    boolean wasRemoved = backend.isRemoved();
+    if (!before.weightVersions().equals(entry.weightVersions())) {
+      backend.forgetParts();
+    }
+    backend.update(entry, now);
+    if (wasRemoved) {
+      log.server("back", entry, revision);
+    } else if (!before.equals(entry)) {
+      log.server(entry.leaving() ? "leaving" : "changed", entry, revision);
+    }
+    index();
+  }
+
+  /** Takes the removal of an entry. */
+  public void remove(String id, long revision) {
+    Backend backend = backends.get(id);
+    if (backend == null || backend.isRemoved()) {
+      return;
+    }
+    backend.removed(loop.millis());
+    log.server("gone", backend.entry(), revision);
+  }
+
+  private void index() {
+    byService.clear();
+    for (Backend backend : backends.values()) {
+      byService
+          .computeIfAbsent(backend.entry().service(), name -> new ArrayList<>())
+          .add(backend);
+    }
+  }
+
+  /** Forgets servers that have been gone for long; returns their ids. */
+  public List<String> forgetGone(long afterMs) {
+    List<String> forgotten = new ArrayList<>();
+    Iterator<Backend> iterator = backends.values().iterator();
+    while (iterator.hasNext()) {
+      Backend backend = iterator.next();
+      if (backend.isRemoved() && backend.leavingForMs(loop.millis()) > afterMs) {
+        forgotten.add(backend.entry().id());
+        iterator.remove();
+      }
+    }
+    if (!forgotten.isEmpty()) {
+      index();
+    }
+    return forgotten;
+  }
+
+  /** Returns the entries that are not gone. */
+  public List<ServerEntry> entries() {
+    List<ServerEntry> entries = new ArrayList<>();
+    for (Backend backend : backends.values()) {
+      if (!backend.isRemoved()) {
+        entries.add(backend.entry());
+      }
+    }
+    return entries;
+  }
+
+  @Nullable Backend find(String id) {
+    return backends.get(id);
+  }
+
+  /** Returns the servers of a service that may get a request now, the sound ones if there are. */
+  List<Backend> usable(String service, Set<String> excluded) {
+    long now = loop.millis();
+    List<Backend> sound = new ArrayList<>();
+    List<Backend> doubtful = new ArrayList<>();
+    for (Backend backend : byService.getOrDefault(service, List.of())) {
+      if (excluded.contains(backend.entry().id())) {
+        continue;
+      }
+      long leavingFor = backend.leavingForMs(now);
+      if (leavingFor >= 0 && !mayHaveLapsed(backend, now)) {
+        if (leavingFor < lastResortMs) {
+          doubtful.add(backend);
+        }
+        continue;
+      }
+      if (backend.isEjected(now)) {
+        doubtful.add(backend);
+        continue;
+      }
+      sound.add(backend);
+    }
+    return sound.isEmpty() ? doubtful : sound;
+  }
+
+  private boolean mayHaveLapsed(Backend backend, long now) {
+    return backend.isRemoved()
+        && !backend.entry().leaving()
+        && now - storeBackAtMs < lapsedMs;
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerChooser.java
@@ -0,0 +1,128 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.serving;
+
+import java.util.List;
+import java.util.OptionalLong;
+import org.jspecify.annotations.Nullable;
+import org.landingtrack.internal.base.Hashes;
+import org.landingtrack.internal.serving.ServiceInfo.EngineInfo;
+
+/**
+ * Chooses the backend server for a request: the one on which it is expected to start first, where
+ * reading what is not kept counts as time. Pure but for the order of the candidates.
+ */
+final class ServerChooser {
+  /** Time to read one prompt token on an idle engine; from the engines' data sheet. */
+  static final double MS_PER_TOKEN = 1 / 56.9;
+
+  /** What a request in another data centre costs more, in milliseconds of waiting. */
+  private static final double OTHER_DATA_CENTRE_MS = 12;
+
+  /** Assumed delay by each request that an engine already runs for this VM. */
+  private static final double MS_PER_RUNNING = 1.0;
+
+  /** Assumed delay by each request that a plain server already runs for this VM. */
+  private static final double MS_PER_PLAIN_REQUEST = 40;
+
+  /** Share of the shared parts that the prompt's home server is assumed to keep unseen. */
+  private static final double HOME_KEPT = 0.5;
+
+  /** Passing over a server that refused lately is worth so much waiting. */
+  private static final double REFUSED_MS = 400;
+
+  /** Passing over a server with old weights is worth so much waiting. */
+  private static final double OLD_WEIGHTS_MS = 150;
+
+  private ServerChooser() {}
+
+  /** What is known of a request. */
+  record Query(
+      String service,
+      String dataCentre,
+      @Nullable EngineInfo engine,
+      @Nullable Prompt prompt,
+      String scope,
+      OptionalLong newestWeights,
+      long keyHash,
+      long nowMs) {}
+
+  /** A chosen server with what decided. */
+  record Choice(Backend backend, int keptTokens, double costMs) {}
+
+  /** Returns the cheapest server, or null if there is none. */
+  static @Nullable Choice choose(List<Backend> candidates, Query query) {
+    Backend home = home(candidates, query.keyHash());
+    Choice best = null;
+    for (Backend backend : candidates) {
+      Choice choice = consider(backend, backend == home, query);
+      if (best == null || choice.costMs < best.costMs) {
+        best = choice;
+      }
+    }
+    return best;
+  }
+
+  private static @Nullable Backend home(List<Backend> candidates, long keyHash) {
+    Backend best = null;
+    long bestWeight = Long.MIN_VALUE;
+    for (Backend backend : candidates) {
+      long weight = Hashes.weight(keyHash, backend.idHash());
+      if (best == null || weight > bestWeight) {
+        best = backend;
+        bestWeight = weight;
+      }
+    }
+    return best;
+  }
+
+  private static Choice consider(Backend backend, boolean isHome, Query query) {
+    double cost = 0;
+    int kept = 0;
+    Prompt prompt = query.prompt();
+    if (prompt == null) {
+      cost += backend.inFlight() * MS_PER_PLAIN_REQUEST;
+    } else {
+      kept = backend.keptTokens(query.scope(), prompt);
+      int missing = prompt.tokens() - kept;
+      if (isHome) {
+        int shared = prompt.tokens() - lastPartTokens(prompt);
+        missing -= (int) (Math.max(0, shared - kept) * HOME_KEPT);
+      }
+      cost += (missing + backend.pendingTokens()) * MS_PER_TOKEN;
+      cost += backend.inFlight() * MS_PER_RUNNING;
+      cost += weightsCost(backend, prompt.model(), query.newestWeights());
+    }
+    if (!backend.entry().dataCentre().equals(query.dataCentre())) {
+      cost += OTHER_DATA_CENTRE_MS;
+    }
+    if (backend.refusedLately(query.nowMs())) {
+      cost += REFUSED_MS;
+    }
+    return new Choice(backend, kept, cost);
+  }
+
+  private static double weightsCost(Backend backend, String model, OptionalLong newest) {
+    Long has = backend.entry().weightVersions().get(model);
+    boolean old = newest.isPresent() && has != null && has < newest.getAsLong();
+    return old ? OLD_WEIGHTS_MS : 0;
+  }
+
+  private static int lastPartTokens(Prompt prompt) {
+    int size = prompt.parts().size();
+    return size == 0 ? 0 : prompt.parts().get(size - 1).tokens();
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/Serving.java
@@ -0,0 +1,89 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.serving;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** Serves requests: makes a run of each and keeps account of those under way. */
+public final class Serving {
+  private final EventLoop loop;
+  private final ServingState state;
+  private final BackendTransport transport;
+  private final DecisionLog log;
+  private final ServingOptions options;
+  private final Set<RequestRun> running = new HashSet<>();
+
+  public Serving(
+      EventLoop loop,
+      ServingState state,
+      BackendTransport transport,
+      DecisionLog log,
+      ServingOptions options) {
+    this.loop = loop;
+    this.state = state;
+    this.transport = transport;
+    this.log = log;
+    this.options = options;
+  }
+
+  /** Begins to serve a request; tell the run if the caller leaves. */
+  public RequestRun serve(CallerRequest request, CallerSink sink) {
+    RequestRun run = new RequestRun(this, request, sink);
+    running.add(run);
+    run.start();
+    return run;
+  }
+
+  void ended(RequestRun run) {
+    running.remove(run);
+  }
+
+  /** Returns the number of requests under way. */
+  public int runningCount() {
+    return running.size();
+  }
+
+  /** Breaks off all requests under way. */
+  public void abortAll(String why) {
+    List<RequestRun> all = new ArrayList<>(running);
+    for (RequestRun run : all) {
+      run.giveUp(why);
+    }
+  }
+
+  EventLoop loop() {
+    return loop;
+  }
+
+  ServingState state() {
+    return state;
+  }
+
+  BackendTransport transport() {
+    return transport;
+  }
+
+  DecisionLog log() {
+    return log;
+  }
+
+  ServingOptions options() {
+    return options;
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServingConfig.java
@@ -0,0 +1,88 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.serving;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+
+/** One version of the operators' configuration, ready for look-ups. Immutable. */
+public final class ServingConfig {
+  private final long version;
+  private final Map<String, List<Route>> routesByHost = new HashMap<>();
+  private final Map<String, ServiceInfo> services;
+  private final Map<String, Team> teamsByKey;
+  private final CallerLimits limits;
+
+  public ServingConfig(
+      long version,
+      List<Route> routes,
+      Map<String, ServiceInfo> services,
+      Map<String, Team> teamsByKey,
+      CallerLimits limits) {
+    this.version = version;
+    for (Route route : routes) {
+      routesByHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
+    }
+    Comparator<Route> longestFirst = Comparator.comparingInt(route -> -route.pathPrefix().length());
+    routesByHost.values().forEach(list -> list.sort(longestFirst));
+    this.services = Map.copyOf(services);
+    this.teamsByKey = Map.copyOf(teamsByKey);
+    this.limits = limits;
+  }
+
+  public long version() {
+    return version;
+  }
+
+  /** Returns the route whose prefix begins the path and is longest. */
+  public Optional<Route> route(String host, String path) {
+    for (Route route : routesByHost.getOrDefault(host, List.of())) {
+      if (path.startsWith(route.pathPrefix())) {
+        return Optional.of(route);
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Returns a service, or null if the configuration lacks it. */
+  public @Nullable ServiceInfo service(String name) {
+    return services.get(name);
+  }
+
+  /** Returns all services by name. */
+  public Map<String, ServiceInfo> services() {
+    return services;
+  }
+
+  /** Returns the team that holds a key. */
+  public Optional<Team> team(@Nullable String key) {
+    return key == null ? Optional.empty() : Optional.ofNullable(teamsByKey.get(key));
+  }
+
+  /** Returns true if callers need a key, but for open routes. */
+  public boolean needsKeys() {
+    return !teamsByKey.isEmpty();
+  }
+
+  public CallerLimits limits() {
+    return limits;
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/StructuredDecisionLog.java
@@ -0,0 +1,118 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.serving;
+
+import org.landingtrack.ErrorKind;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
+import org.slf4j.spi.LoggingEventBuilder;
+
+/** Writes decisions as log lines with fixed field names; the one place that names them. */
+public final class StructuredDecisionLog implements DecisionLog {
+  private static final Logger requests = LoggerFactory.getLogger("request");
+  private static final Logger servers = LoggerFactory.getLogger("servers");
+  private static final Logger config = LoggerFactory.getLogger("config");
+  private static final Logger weights = LoggerFactory.getLogger("weights");
+
+  private static LoggingEventBuilder line(RequestRun run, Level level) {
+    return requests
+        .atLevel(level)
+        .addKeyValue("requestId", run.request().id())
+        .addKeyValue("route", run.routeName())
+        .addKeyValue("service", run.service())
+        .addKeyValue("team", run.teamName())
+        .addKeyValue("ageMs", run.ageMs());
+  }
+
+  @Override
+  public void routed(RequestRun run, String server, int attempt, int keptTokens, int candidates) {
+    line(run, Level.INFO)
+        .addKeyValue("server", server)
+        .addKeyValue("attempt", attempt)
+        .addKeyValue("keptTokens", keptTokens)
+        .addKeyValue("candidates", candidates)
+        .log("routed");
+  }
+
+  @Override
+  public void tryFailed(RequestRun run, String server, String outcome, String why) {
+    line(run, Level.INFO)
+        .addKeyValue("server", server)
+        .addKeyValue("outcome", outcome)
+        .addKeyValue("why", why)
+        .log("try failed");
+  }
+
+  @Override
+  public void answered(RequestRun run, String server, int status, long firstMs, long totalMs) {
+    line(run, Level.INFO)
+        .addKeyValue("server", server)
+        .addKeyValue("status", status)
+        .addKeyValue("firstMs", firstMs)
+        .log("answered");
+  }
+
+  @Override
+  public void refused(RequestRun run, ErrorKind kind, String why, long retryAfterMs) {
+    line(run, Level.INFO)
+        .addKeyValue("kind", kind)
+        .addKeyValue("why", why)
+        .addKeyValue("retryAfterMs", retryAfterMs)
+        .log("refused");
+  }
+
+  @Override
+  public void cut(RequestRun run, String server, String why) {
+    line(run, Level.INFO).addKeyValue("server", server).addKeyValue("why", why).log("cut");
+  }
+
+  @Override
+  public void server(String change, ServerEntry entry, long revision) {
+    servers
+        .atInfo()
+        .addKeyValue("server", entry.id())
+        .addKeyValue("service", entry.service())
+        .addKeyValue("address", entry.address())
+        .addKeyValue("weights", entry.weightVersions())
+        .addKeyValue("revision", revision)
+        .log("server " + change);
+  }
+
+  @Override
+  public void ejected(String server, String why) {
+    servers.atInfo().addKeyValue("server", server).addKeyValue("why", why).log("server ejected");
+  }
+
+  @Override
+  public void config(long version, long revision) {
+    config
+        .atInfo()
+        .addKeyValue("version", version)
+        .addKeyValue("revision", revision)
+        .log("configuration in force");
+  }
+
+  @Override
+  public void weights(String model, long version, long revision) {
+    weights
+        .atInfo()
+        .addKeyValue("model", model)
+        .addKeyValue("version", version)
+        .addKeyValue("revision", revision)
+        .log("weights named");
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/package-info.java
@@ -0,0 +1,24 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+/**
+ * Serves requests that are opaque to landingtrack but for what the caller tells about them: which
+ * backend server runs a request, what is tried again, what is refused.
+ *
+ * <p>Everything here runs on one event loop thread, given as {@link EventLoop}, and does no I/O of
+ * its own; ports such as {@link BackendTransport} do.
+ */
+@org.jspecify.annotations.NullMarked
+package org.landingtrack.internal.serving;
--- a/landingtrack/src/main/java/org/landingtrack/internal/settings/SettingKey.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/settings/SettingKey.java
@@ -43,7 +43,9 @@
   enum Type {
     NUMBER,
     TEXT,
-    TEXTS
+    TEXTS,
+    SHARE,
+    FLAG
   }
 
   static SettingKey number(String path, @Nullable Long fallback, long min, long max) {
@@ -51,6 +53,15 @@
         path, Type.NUMBER, fallback, min, max, null, "a whole number from " + min + " to " + max);
   }
 
+  /** A number from 0 to 1, fractions included. */
+  static SettingKey share(String path) {
+    return new SettingKey(path, Type.SHARE, null, 0, 1, null, "a number from 0 to 1");
+  }
+
+  static SettingKey flag(String path) {
+    return new SettingKey(path, Type.FLAG, null, 0, 0, null, "true or false");
+  }
+
   static SettingKey text(String path, @Nullable String fallback, String regex, String allowed) {
     return new SettingKey(path, Type.TEXT, fallback, 0, 0, Pattern.compile(regex), allowed);
   }
--- a/landingtrack/src/main/java/org/landingtrack/internal/settings/SettingsReader.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/settings/SettingsReader.java
@@ -114,6 +114,8 @@
       case NUMBER -> number(parser, key, line);
       case TEXT -> text(parser, key, line);
       case TEXTS -> texts(parser, key, line);
+      case SHARE -> share(parser, key, line);
+      case FLAG -> flag(parser, key, line);
     };
   }
 
@@ -129,6 +131,24 @@
     return value;
   }
 
+  private Object share(JsonParser parser, SettingKey key, int line) throws IOException {
+    if (!parser.currentToken().isNumeric()) {
+      throw refuse(key, line);
+    }
+    double value = parser.getDoubleValue();
+    if (!(value >= key.min() && value <= key.max())) {
+      throw refuse(key, line);
+    }
+    return value;
+  }
+
+  private Object flag(JsonParser parser, SettingKey key, int line) throws IOException {
+    if (!parser.currentToken().isBoolean()) {
+      throw refuse(key, line);
+    }
+    return parser.getBooleanValue();
+  }
+
   private String text(JsonParser parser, SettingKey key, int line) throws IOException {
     if (parser.currentToken() != JsonToken.VALUE_STRING || !matches(key, parser.getText())) {
       throw refuse(key, line);
@@ -210,6 +230,14 @@
       return (String) value(path);
     }
 
+    double share(String path) {
+      return (Double) value(path);
+    }
+
+    boolean flag(String path) {
+      return (Boolean) value(path);
+    }
+
     List<String> texts(String path) {
       List<String> list = new ArrayList<>();
       for (Object item : (List<?>) value(path)) {
