--- a/landingtrack/src/main/java/org/landingtrack/internal/platform/ObjectFeed.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/platform/ObjectFeed.java
@@ -23,8 +23,9 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Follows all objects under a prefix: lists them once, then watches. After an error it goes on from
- * the last revision; if the changes since then are gone, it lists again. One thread each.
+ * Follows all objects under a prefix: lists them once, then watches. After any error it lists again,
+ * since a watch that broke may wait on without hearing of changes that the store has dropped. One
+ * thread each.
  */
 public final class ObjectFeed implements AutoCloseable {
   private static final Logger log = LoggerFactory.getLogger("store");
@@ -88,8 +89,7 @@
         noteAnswer();
       } catch (PlatformException e) {
         if (e.reason() == PlatformException.Reason.TOO_OLD) {
-          log.info("The store's history of {} is gone since {}; reads all.", prefix, revision);
-          revision = -1;
+          log.info("The store's history of {} is gone; reads all.", prefix);
           continue;
         }
         noteSilence(e);
@@ -102,16 +102,18 @@
     }
   }
 
-  /** Reads once. Visible for tests. */
+  /** Reads once; after a failure all is read again. Visible for tests. */
   void step() {
-    if (revision < 0) {
+    long from = revision;
+    revision = -1;
+    if (from < 0) {
       Listing all = api.list(CallClass.CONFIGURATION, prefix, "", ALL);
       revision = all.revision();
       sink.replaced(all);
       return;
     }
-    Listing changes = api.watch(CallClass.CONFIGURATION, prefix, revision, waitMs);
-    revision = Math.max(revision, changes.revision());
+    Listing changes = api.watch(CallClass.CONFIGURATION, prefix, from, waitMs);
+    revision = Math.max(from, changes.revision());
     if (!changes.objects().isEmpty()) {
       sink.changed(changes);
     }
@@ -133,7 +135,6 @@
       lost = true;
       log.atWarn()
           .addKeyValue("prefix", prefix)
-          .addKeyValue("revision", revision)
           .addKeyValue("why", e.getMessage())
           .log("store lost");
       sink.lost();
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/Backend.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/Backend.java
@@ -15,6 +15,7 @@
  */
 package org.landingtrack.internal.serving;
 
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.landingtrack.internal.base.Hashes;
@@ -40,6 +41,7 @@
   private final long idHash;
   private long goneAtMs = Long.MAX_VALUE;
   private long leavingAtMs = Long.MAX_VALUE;
+  private final Map<String, Long> learnedWeights = new HashMap<>();
   private int inFlight;
   private long pendingTokens;
   private int failures;
@@ -71,6 +73,20 @@
     return idHash;
   }
 
+  /** Notes the version of weights that an answer told of; it may be ahead of the entry. */
+  void learnWeights(String model, long version) {
+    Long before = learnedWeights.put(model, version);
+    if (before == null || before < version) {
+      forgetParts();
+    }
+  }
+
+  /** Returns the version of a model's weights that the server has at least; 0 if unknown. */
+  long weights(String model) {
+    long listed = entry.weightVersions().getOrDefault(model, 0L);
+    return Math.max(listed, learnedWeights.getOrDefault(model, 0L));
+  }
+
   /** Notes that the server's entry was removed. */
   void removed(long nowMs) {
     goneAtMs = Math.min(goneAtMs, nowMs);
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
@@ -15,6 +15,7 @@
  */
 package org.landingtrack.internal.serving;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.OptionalLong;
@@ -29,7 +30,6 @@
 import org.landingtrack.internal.serving.BackendTransport.StreamEvent;
 import org.landingtrack.internal.serving.Route.Repeat;
 import org.landingtrack.internal.serving.ServerChooser.Choice;
-import org.landingtrack.internal.serving.ServingState.NamedWeights;
 
 /**
  * One request of a caller, from its route to the end of its answer. It is sent to one backend
@@ -148,7 +148,11 @@
     }
     ServiceInfo info = config.service(service);
     List<Backend> usable = serving.state().servers().usable(service, tried);
-    Choice choice = info == null ? null : ServerChooser.choose(usable, query(info));
+    OptionalLong oldest = oldestWeights();
+    List<Backend> recent = recentEnough(usable, oldest);
+    boolean gamble = recent.isEmpty() && !usable.isEmpty();
+    Choice choice =
+        info == null ? null : ServerChooser.choose(gamble ? usable : recent, query(info));
     if (info == null || choice == null) {
       failWithout("no usable server of " + service);
       return;
@@ -173,7 +177,7 @@
                     team == null ? null : team.name(),
                     priority(current, info),
                     scope(),
-                    requiredWeights(),
+                    gamble ? newestWeights() : OptionalLong.empty(),
                     lastEventId),
                 next);
   }
@@ -186,7 +190,8 @@
         info.engine(),
         info.engine() == null ? null : prompt,
         scope(),
-        prompt == null ? OptionalLong.empty() : serving.state().newestWeights(prompt.model()),
+        newestWeights(),
+        serving.state()::rolloutRank,
         Hashes.placement(splitKey()),
         loop.millis());
   }
@@ -203,15 +208,38 @@
     return team != null && team.isolated() ? "team-" + team.name() : "all";
   }
 
-  /** Old weights are used only for a while after newer ones were named. */
-  private OptionalLong requiredWeights() {
+  private OptionalLong newestWeights() {
     Prompt prompt = request.prompt();
-    NamedWeights named =
-        prompt == null ? null : serving.state().weights().get(prompt.model());
-    if (named == null || loop.millis() - named.sinceMs() < serving.options().oldWeightsMs()) {
-      return OptionalLong.empty();
+    return prompt == null
+        ? OptionalLong.empty()
+        : serving.state().newestWeights(prompt.model());
+  }
+
+  private OptionalLong oldestWeights() {
+    Prompt prompt = request.prompt();
+    return prompt == null
+        ? OptionalLong.empty()
+        : serving
+            .state()
+            .oldestUsableWeights(prompt.model(), serving.options().oldWeightsMs());
+  }
+
+  /**
+   * Returns the servers whose weights are not too old. What is known of them may lag; where none is
+   * left, any may be asked for the newest version, which it refuses if it has another.
+   */
+  private List<Backend> recentEnough(List<Backend> usable, OptionalLong oldest) {
+    Prompt prompt = request.prompt();
+    if (prompt == null || oldest.isEmpty()) {
+      return usable;
+    }
+    List<Backend> recent = new ArrayList<>();
+    for (Backend backend : usable) {
+      if (backend.weights(prompt.model()) >= oldest.getAsLong()) {
+        recent.add(backend);
+      }
     }
-    return OptionalLong.of(named.version());
+    return recent;
   }
 
   private boolean maySendAgain() {
@@ -402,6 +430,10 @@
         return;
       }
       head = answer;
+      Prompt prompt = request.prompt();
+      if (prompt != null && answer.weightVersion().isPresent()) {
+        backend.learnWeights(prompt.model(), answer.weightVersion().getAsLong());
+      }
       if (!answer.isStream()) {
         return;
       }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerChooser.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerChooser.java
@@ -17,6 +17,7 @@
 
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.function.ToIntFunction;
 import org.jspecify.annotations.Nullable;
 import org.landingtrack.internal.base.Hashes;
 import org.landingtrack.internal.serving.ServiceInfo.EngineInfo;
@@ -45,7 +46,19 @@
   private static final double REFUSED_MS = 400;
 
   /** Passing over a server with old weights is worth so much waiting. */
-  private static final double OLD_WEIGHTS_MS = 150;
+  private static final double OLD_WEIGHTS_MS = 40;
+
+  /** Servers that load new weights now, by their place in the order of the rollout. */
+  private static final int LOADING_NOW = 3;
+
+  /** Servers that load now or next. */
+  private static final int LOADING_NEXT = 5;
+
+  /** A load takes about 0.8 s, and a request that comes before it is refused or waits for it. */
+  private static final double LOADING_MS = 800;
+
+  /** Emptying a server before its load shortens the load. */
+  private static final double LOADING_SOON_MS = 150;
 
   private ServerChooser() {}
 
@@ -57,6 +70,7 @@
       @Nullable Prompt prompt,
       String scope,
       OptionalLong newestWeights,
+      ToIntFunction<String> rolloutRank,
       long keyHash,
       long nowMs) {}
 
@@ -104,7 +118,7 @@
       }
       cost += (missing + backend.pendingTokens()) * MS_PER_TOKEN;
       cost += backend.inFlight() * MS_PER_RUNNING;
-      cost += weightsCost(backend, prompt.model(), query.newestWeights());
+      cost += weightsCost(backend, prompt.model(), query);
     }
     if (!backend.entry().dataCentre().equals(query.dataCentre())) {
       cost += OTHER_DATA_CENTRE_MS;
@@ -115,10 +129,16 @@
     return new Choice(backend, kept, cost);
   }
 
-  private static double weightsCost(Backend backend, String model, OptionalLong newest) {
-    Long has = backend.entry().weightVersions().get(model);
-    boolean old = newest.isPresent() && has != null && has < newest.getAsLong();
-    return old ? OLD_WEIGHTS_MS : 0;
+  private static double weightsCost(Backend backend, String model, Query query) {
+    OptionalLong newest = query.newestWeights();
+    if (newest.isEmpty() || backend.weights(model) >= newest.getAsLong()) {
+      return 0;
+    }
+    int rank = query.rolloutRank().applyAsInt(backend.entry().id());
+    if (rank < LOADING_NOW) {
+      return LOADING_MS;
+    }
+    return rank < LOADING_NEXT ? LOADING_SOON_MS : OLD_WEIGHTS_MS;
   }
 
   private static int lastPartTokens(Prompt prompt) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServingState.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServingState.java
@@ -15,10 +15,15 @@
  */
 package org.landingtrack.internal.serving;
 
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
+import org.landingtrack.internal.base.Hashes;
 import org.landingtrack.internal.dispatch.RetryBudget;
 
 /**
@@ -26,12 +31,16 @@
  * named. Used on the event loop only.
  */
 public final class ServingState {
+  /** Older versions than these were named too long ago to matter. */
+  private static final int MAX_VERSIONS = 16;
+
   private final EventLoop loop;
   private final ServerBook servers;
   private final DecisionLog log;
-  private final Map<String, NamedWeights> weights = new HashMap<>();
+  private final Map<String, List<NamedWeights>> weights = new HashMap<>();
   private final Map<String, RetryBudget> retries = new HashMap<>();
   private final double maxSavedRetries;
+  private final Map<String, Integer> rolloutRanks = new HashMap<>();
   private @Nullable ServingConfig config;
 
   /** A version of a model's weights, and since when it is known here. */
@@ -62,11 +71,19 @@
 
   /** Takes a named version of a model's weights unless a newer one is known. */
   public void nameWeights(String model, long version, long revision) {
-    NamedWeights known = weights.get(model);
-    if (known != null && known.version() >= version) {
+    nameWeights(model, version, revision, loop.millis());
+  }
+
+  /** Takes a version of a model's weights that was named at some time before. */
+  public void nameWeights(String model, long version, long revision, long sinceMs) {
+    List<NamedWeights> known = weights.computeIfAbsent(model, name -> new ArrayList<>());
+    if (!known.isEmpty() && known.get(known.size() - 1).version() >= version) {
       return;
     }
-    weights.put(model, new NamedWeights(version, loop.millis()));
+    known.add(new NamedWeights(version, sinceMs));
+    if (known.size() > MAX_VERSIONS) {
+      known.remove(0);
+    }
     log.weights(model, version, revision);
   }
 
@@ -84,14 +101,67 @@
     return servers;
   }
 
-  /** Returns all named weights by model. */
-  public Map<String, NamedWeights> weights() {
-    return weights;
+  /** Returns the newest named version of a model's weights. */
+  public OptionalLong newestWeights(String model) {
+    List<NamedWeights> known = weights.getOrDefault(model, List.of());
+    return known.isEmpty()
+        ? OptionalLong.empty()
+        : OptionalLong.of(known.get(known.size() - 1).version());
+  }
+
+  /** Returns the newest version that was named so long ago that older ones must not be used. */
+  OptionalLong oldestUsableWeights(String model, long oldWeightsMs) {
+    OptionalLong oldest = OptionalLong.empty();
+    for (NamedWeights named : weights.getOrDefault(model, List.of())) {
+      if (loop.millis() - named.sinceMs() >= oldWeightsMs) {
+        oldest = OptionalLong.of(named.version());
+      }
+    }
+    return oldest;
+  }
+
+  /**
+   * Returns the servers with older weights of a model than named, in the order in which they are to
+   * load them. Every VM finds the same order, so that requests go elsewhere before a load begins.
+   */
+  public List<ServerEntry> rolloutOrder(String model) {
+    OptionalLong newest = newestWeights(model);
+    List<ServerEntry> lagging = new ArrayList<>();
+    if (newest.isEmpty()) {
+      return lagging;
+    }
+    for (ServerEntry entry : servers.entries()) {
+      Long has = entry.weightVersions().get(model);
+      if (!entry.leaving() && has != null && has < newest.getAsLong()) {
+        lagging.add(entry);
+      }
+    }
+    long modelHash = Hashes.placement(model);
+    lagging.sort(
+        Comparator.comparingLong(
+            entry -> Hashes.weight(modelHash, Hashes.placement(entry.id()))));
+    return lagging;
+  }
+
+  /** Computes anew which servers load next; call it after servers or weights changed. */
+  public void refreshRollout() {
+    rolloutRanks.clear();
+    for (String model : weights.keySet()) {
+      int rank = 0;
+      for (ServerEntry entry : rolloutOrder(model)) {
+        rolloutRanks.put(entry.id(), rank++);
+      }
+    }
+  }
+
+  /** Returns how many servers load before this one; a large number if it does not have to. */
+  int rolloutRank(String serverId) {
+    return rolloutRanks.getOrDefault(serverId, Integer.MAX_VALUE);
   }
 
-  OptionalLong newestWeights(String model) {
-    NamedWeights known = weights.get(model);
-    return known == null ? OptionalLong.empty() : OptionalLong.of(known.version());
+  /** Returns the models whose weights were named. */
+  public Set<String> models() {
+    return weights.keySet();
   }
 
   RetryBudget retries(String service) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/weights/VersionRollout.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/weights/VersionRollout.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -50,6 +51,9 @@
   private static final int STEPS_PER_RENEWAL = 3;
   private static final int CALLERS = 8;
 
+  /** Reports are up to this old, by some hundred milliseconds more than engines say. */
+  private static final long REPORT_LAG_MS = 600;
+
   /** The last holder goes first; others wait so many steps before they seek the lease. */
   private static final int STEPS_FOR_LAST_HOLDER = 3;
 
@@ -63,6 +67,7 @@
   private final Duty duty = Duty.start("weights", 4);
   private final ExecutorService callers =
       Executors.newFixedThreadPool(CALLERS, Duty.daemon("weights-calls"));
+  private final Map<String, Ordered> ordered = new ConcurrentHashMap<>();
   private long steps;
   private long idleSteps;
   private long laggingSteps;
@@ -70,6 +75,8 @@
   private long heldSinceMs;
   private boolean settled;
 
+  private record Ordered(long version, long ordersTaken, long atMs) {}
+
   /** An engine that has older weights than named. */
   public record Task(Engine engine, String model, long version) {}
 
@@ -169,7 +176,7 @@
       if (report == null) {
         continue;
       }
-      if (report.busy()) {
+      if (report.busy() || mayNotShowYet(task, report)) {
         loading++;
       } else if (report.weightVersions().getOrDefault(task.model(), 0L) < task.version()) {
         idle.add(task);
@@ -188,6 +195,15 @@
     orders.forEach(VersionRollout::result);
   }
 
+  /** Reports are some time old: an order that was given just now may not show in them. */
+  private boolean mayNotShowYet(Task task, Report report) {
+    Ordered last = ordered.get(task.engine().id());
+    return last != null
+        && last.version == task.version()
+        && report.ordersTaken() <= last.ordersTaken
+        && ticker.millis() - last.atMs < REPORT_LAG_MS;
+  }
+
   private @Nullable Report ask(Task task) {
     try {
       return control.report(task.engine());
@@ -206,6 +222,8 @@
     LoadOrder order =
         new LoadOrder(
             task.model(), task.version(), report.ordersTaken(), self, epoch.getAsLong());
+    Ordered given = new Ordered(task.version(), report.ordersTaken(), ticker.millis());
+    ordered.put(task.engine().id(), given);
     Outcome outcome = control.load(task.engine(), order);
     log.atInfo()
         .addKeyValue("server", task.engine().id())
--- /dev/null
+++ b/landingtrack/src/test/java/org/landingtrack/internal/platform/ObjectFeedTest.java
@@ -0,0 +1,96 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.platform;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.landingtrack.internal.platform.ObjectApi.CallClass;
+import org.landingtrack.internal.platform.ObjectApi.Listing;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public final class ObjectFeedTest {
+  private FakeObjectApi api = new FakeObjectApi();
+  private List<String> heard = new ArrayList<>();
+  private ObjectFeed feed = newFeed();
+
+  @BeforeMethod
+  public void newApi() {
+    api = new FakeObjectApi();
+    heard = new ArrayList<>();
+    feed = newFeed();
+  }
+
+  private ObjectFeed newFeed() {
+    return new ObjectFeed(
+        api,
+        "config",
+        1_000,
+        new Random(1),
+        new ObjectFeed.Sink() {
+            @Override
+            public void replaced(Listing all) {
+              heard.add("all " + all.objects().size() + " at " + all.revision());
+            }
+
+            @Override
+            public void changed(Listing changes) {
+              heard.add("changed " + changes.objects().size() + " at " + changes.revision());
+            }
+
+            @Override
+            public void lost() {
+              heard.add("lost");
+            }
+
+            @Override
+            public void regained() {
+              heard.add("regained");
+            }
+          });
+  }
+
+  @Test
+  public void listsThenWatches() {
+    put("config/main", "1", ObjectApi.ABSENT);
+    feed.step();
+    put("config/main", "2", 1);
+    feed.step();
+    feed.step();
+    assertEquals(heard, List.of("all 1 at 1", "changed 1 at 2"));
+  }
+
+  /** A store that cut a watch may have dropped its history: the same watch may hear nothing. */
+  @Test
+  public void readsAllAgainAfterABrokenWatch() {
+    put("config/main", "1", ObjectApi.ABSENT);
+    feed.step();
+    api.out(true);
+    assertThrows(PlatformException.class, feed::step);
+    api.out(false);
+    put("config/main", "2", 1);
+    feed.step();
+    assertEquals(heard, List.of("all 1 at 1", "all 1 at 2"));
+  }
+
+  private void put(String key, String value, long version) {
+    var unused = api.write(CallClass.CONFIGURATION, key, value, version);
+  }
+}
--- /dev/null
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/RecordingSink.java
@@ -0,0 +1,64 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.serving;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.landingtrack.ErrorKind;
+
+/** Keeps what a caller would see, as one line for each step. */
+final class RecordingSink implements CallerSink {
+  final StringBuilder seen = new StringBuilder();
+  long retryAfterMs = -1;
+
+  @Override
+  public void answer(int status, List<Header> headers, byte[] body) {
+    add("answer " + status + " " + new String(body, StandardCharsets.UTF_8));
+  }
+
+  @Override
+  public void refuse(ErrorKind kind, String why, long retryAfter) {
+    retryAfterMs = retryAfter;
+    add("refused " + kind);
+  }
+
+  @Override
+  public void startStream(int status, List<Header> headers) {
+    add("stream " + status);
+  }
+
+  @Override
+  public void event(byte[] bytes) {
+    add("event " + new String(bytes, StandardCharsets.UTF_8).trim());
+  }
+
+  @Override
+  public void endStream() {
+    add("end");
+  }
+
+  @Override
+  public void abort() {
+    add("abort");
+  }
+
+  private void add(String line) {
+    if (seen.length() > 0) {
+      seen.append("; ");
+    }
+    seen.append(line);
+  }
+}
--- /dev/null
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/RequestRunTest.java
@@ -0,0 +1,266 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.serving;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.OptionalLong;
+import org.landingtrack.internal.serving.BackendTransport.NotRunReason;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public final class RequestRunTest {
+  private ServingWorld world = new ServingWorld();
+
+  @BeforeMethod
+  public void newWorld() {
+    world = new ServingWorld();
+  }
+
+  @Test
+  public void anAnswerIsPassedOn() {
+    RecordingSink sink = world.serve("/never/x");
+    world.transport.last().answer(200, "hello");
+    assertEquals(sink.seen.toString(), "answer 200 hello");
+    assertEquals(world.serving.runningCount(), 0);
+  }
+
+  @DataProvider
+  public Object[][] refusals() {
+    return new Object[][] {
+      {"/nowhere/x", ServingWorld.KEY, "refused NOT_FOUND"},
+      {"/never/x", null, "refused UNAUTHENTICATED"},
+      {"/never/x", "foreign", "refused UNAUTHENTICATED"},
+    };
+  }
+
+  @Test(dataProvider = "refusals")
+  public void whatTheConfigurationForbidsIsRefused(String path, String key, String expected) {
+    RecordingSink sink = world.serve(path, key);
+    assertEquals(sink.seen.toString(), expected);
+    assertTrue(world.transport.sends.isEmpty());
+  }
+
+  @Test
+  public void withoutConfigurationNothingIsDenied() {
+    ServingState empty = new ServingState(world.loop, world.book, world.log, 3);
+    Serving serving =
+        new Serving(
+            world.loop, empty, world.transport, world.log, new ServingOptions("dc-1", 20, 8_000));
+    RecordingSink sink = new RecordingSink();
+    serving.serve(world.request("/nowhere/x", null), sink);
+    assertEquals(sink.seen.toString(), "refused NOT_READY");
+    assertTrue(sink.retryAfterMs > 0);
+  }
+
+  /** Path, what the first server does, and what the caller sees without a second server. */
+  @DataProvider
+  public Object[][] brokenSends() {
+    return new Object[][] {
+      {"/never/x", false, "refused OUTCOME_UNKNOWN"},
+      {"/once/x", false, "refused OUTCOME_UNKNOWN"},
+      {"/safe/x", true, ""},
+      {"/chat/x", true, ""},
+    };
+  }
+
+  @Test(dataProvider = "brokenSends")
+  public void whatMayHaveRunIsSentAgainOnlyWhereAllowed(
+      String path, boolean again, String expected) {
+    RecordingSink sink = world.serve(path);
+    world.transport.last().listener.broken("reset");
+    assertEquals(world.transport.sends.size(), again ? 2 : 1);
+    assertEquals(sink.seen.toString(), expected);
+    if (again) {
+      assertNotEquals(
+          world.transport.sends.get(0).call.serverId(), world.transport.last().call.serverId());
+    }
+  }
+
+  @Test
+  public void aRefusedSendIsNotRunUntilAnotherIsInDoubt() {
+    RecordingSink sink = world.serve("/never/x");
+    world.transport.last().listener.notRun(NotRunReason.FULL, "full");
+    assertEquals(sink.seen.toString(), "refused NO_BACKEND_SERVER");
+    assertTrue(sink.retryAfterMs > 0);
+  }
+
+  @Test
+  public void aFailedConnectIsNoSend() {
+    RecordingSink sink = world.serve("/never/x");
+    world.transport.last().listener.notRun(NotRunReason.NO_CONNECTION, "refused");
+    assertEquals(world.transport.sends.size(), 2);
+    world.transport.last().answer(200, "hello");
+    assertEquals(sink.seen.toString(), "answer 200 hello");
+  }
+
+  @Test
+  public void noMoreServersThanTheRouteAllows() {
+    RecordingSink sink = world.serve("/safe/x");
+    world.transport.last().listener.broken("reset");
+    world.transport.last().listener.broken("reset");
+    assertEquals(world.transport.sends.size(), 2);
+    assertEquals(sink.seen.toString(), "refused OUTCOME_UNKNOWN");
+  }
+
+  @Test
+  public void aResumedStreamHasEachEventOnce() {
+    RecordingSink sink = world.serve("/chat/x");
+    FakeTransport.Sent first = world.transport.last();
+    first.startStream();
+    first.event("1");
+    first.event("2");
+    first.listener.broken("reset");
+    FakeTransport.Sent second = world.transport.last();
+    assertEquals(second.call.resumeAfter(), "2");
+    second.startStream();
+    second.event("2");
+    second.event("3");
+    second.listener.ended(new byte[0]);
+    assertEquals(
+        sink.seen.toString(), "stream 200; event id: 1; event id: 2; event id: 3; end");
+  }
+
+  @Test
+  public void aStreamThatCannotBeResumedIsBrokenOff() {
+    RecordingSink sink = world.serve("/once/x");
+    world.transport.last().startStream();
+    world.transport.last().event("1");
+    world.transport.last().listener.broken("reset");
+    assertEquals(sink.seen.toString(), "stream 200; event id: 1; abort");
+  }
+
+  @Test
+  public void aResumedStreamThatFailsIsNotEndedAsComplete() {
+    RecordingSink sink = world.serve("/chat/x");
+    world.transport.last().startStream();
+    world.transport.last().event("1");
+    world.transport.last().listener.broken("reset");
+    world.transport.last().answer(404, "no");
+    assertEquals(sink.seen.toString(), "stream 200; event id: 1; abort");
+  }
+
+  @DataProvider
+  public Object[][] statusesThatPromise() {
+    return new Object[][] {{503}, {429}, {408}, {421}};
+  }
+
+  @Test(dataProvider = "statusesThatPromise")
+  public void aServersStatusNeverPromisesThatWhatRanDidNot(int status) {
+    RecordingSink sink = world.serve("/never/x");
+    world.transport.last().answer(status, "busy");
+    assertEquals(sink.seen.toString(), "refused FAILED_IN_RUN");
+  }
+
+  @Test
+  public void theRoutesTimeEndsARequestInDoubt() {
+    RecordingSink sink = world.serve("/never/x");
+    world.loop.advance(1_199);
+    assertEquals(sink.seen.toString(), "");
+    world.loop.advance(1);
+    assertEquals(sink.seen.toString(), "refused DEADLINE_IN_RUN");
+    assertTrue(world.transport.last().cancelled);
+  }
+
+  @Test
+  public void aCallerThatLeftCancelsTheWork() {
+    RecordingSink sink = new RecordingSink();
+    RequestRun run = world.serving.serve(world.request("/never/x", ServingWorld.KEY), sink);
+    run.callerGone();
+    assertTrue(world.transport.last().cancelled);
+    assertEquals(sink.seen.toString(), "");
+    assertEquals(world.serving.runningCount(), 0);
+  }
+
+  @Test
+  public void aLeavingServerGetsNothingWhileOthersServe() {
+    world.book.put(ServingWorld.leaving(ServingWorld.engine("e1", 1)), 2);
+    world.serve("/chat/x");
+    assertEquals(world.transport.last().call.serverId(), "e2");
+  }
+
+  @Test
+  public void theLastLeavingServersServeForAShortWhile() {
+    world.book.put(ServingWorld.leaving(ServingWorld.engine("e1", 1)), 2);
+    world.book.remove("e2", 3);
+    world.serve("/chat/x");
+    assertEquals(world.transport.sends.size(), 1);
+    world.loop.advance(1_400);
+    RecordingSink sink = world.serve("/chat/x");
+    assertEquals(sink.seen.toString(), "refused NO_BACKEND_SERVER");
+  }
+
+  @Test
+  public void entriesThatLapsedWithTheStoreServeUntilTheyAreBack() {
+    world.book.storeReturned();
+    world.book.replaceAll(List.of(), 5);
+    world.loop.advance(2_400);
+    world.serve("/chat/x");
+    assertEquals(world.transport.sends.size(), 1);
+    world.loop.advance(200);
+    RecordingSink sink = world.serve("/chat/x");
+    assertEquals(sink.seen.toString(), "refused NO_BACKEND_SERVER");
+  }
+
+  /** Each named version has its own bound, also when a newer one was named meanwhile. */
+  @Test
+  public void weightsThatAreTooOldAreNotUsed() {
+    world.state.nameWeights(ServingWorld.MODEL, 2, 2);
+    world.loop.advance(5_000);
+    world.state.nameWeights(ServingWorld.MODEL, 3, 3);
+    world.book.put(ServingWorld.engine("e2", 2), 4);
+    world.loop.advance(3_500);
+    for (int i = 0; i < 20; i++) {
+      world.serve("/chat/x");
+      assertEquals(world.transport.last().call.serverId(), "e2");
+    }
+    world.loop.advance(5_000);
+    world.serve("/chat/x");
+    assertEquals(world.transport.last().call.weightVersion(), OptionalLong.of(3));
+  }
+
+  @Test
+  public void anAnswerTellsThatAnEngineHasNewerWeights() {
+    world.state.nameWeights(ServingWorld.MODEL, 2, 2);
+    world.loop.advance(8_500);
+    world.serve("/chat/x");
+    FakeTransport.Sent first = world.transport.last();
+    assertEquals(first.call.weightVersion(), OptionalLong.of(2));
+    first.listener.head(
+        new BackendTransport.AnswerHead(200, List.of(), true, OptionalLong.of(2)));
+    world.serve("/chat/x");
+    assertEquals(world.transport.last().call.serverId(), first.call.serverId());
+    assertTrue(world.transport.last().call.weightVersion().isEmpty());
+  }
+
+  @Test
+  public void retriesAreBounded() {
+    int again = 0;
+    for (int i = 0; i < 100; i++) {
+      int before = world.transport.sends.size();
+      world.serve("/safe/x");
+      world.transport.last().listener.broken("reset");
+      again += world.transport.sends.size() - before - 1;
+    }
+    assertTrue(again <= 3 + 20, "sent again: " + again);
+    assertFalse(again == 0);
+  }
+}
--- /dev/null
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/ServingWorld.java
@@ -0,0 +1,127 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.serving;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+import org.landingtrack.internal.serving.Route.Repeat;
+import org.landingtrack.internal.serving.ServiceInfo.EngineInfo;
+
+/** A VM's serving part with fake servers: two engines, three plain servers, one team. */
+final class ServingWorld {
+  static final String MODEL = "m";
+  static final String KEY = "key-1";
+
+  final ManualLoop loop = new ManualLoop();
+  final FakeTransport transport = new FakeTransport();
+  final DecisionLog log = new StructuredDecisionLog();
+  final ServerBook book = new ServerBook(loop, log, 1_400, 2_500);
+  final ServingState state = new ServingState(loop, book, log, 3);
+  final Serving serving =
+      new Serving(loop, state, transport, log, new ServingOptions("dc-1", 20, 8_000));
+
+  ServingWorld() {
+    state.configure(config(1, "plain"), 1);
+    book.replaceAll(
+        List.of(
+            engine("e1", 1),
+            engine("e2", 1),
+            plain("p1", "dc-1"),
+            plain("p2", "dc-1"),
+            plain("p3", "dc-2")),
+        1);
+  }
+
+  static ServerEntry engine(String id, long weights) {
+    return new ServerEntry(
+        id, "engines", "10.0.0.1:80", "dc-1", 8, false, 0, Map.of(MODEL, weights));
+  }
+
+  static ServerEntry plain(String id, String dataCentre) {
+    return new ServerEntry(id, "plain", "10.0.0.2:80", dataCentre, 6, false, 0, Map.of());
+  }
+
+  static ServerEntry leaving(ServerEntry entry) {
+    return new ServerEntry(
+        entry.id(),
+        entry.service(),
+        entry.address(),
+        entry.dataCentre(),
+        entry.slots(),
+        true,
+        entry.coldMs(),
+        entry.weightVersions());
+  }
+
+  static ServingConfig config(long version, String plainService) {
+    List<Route> routes = new ArrayList<>();
+    routes.add(route("/never/", Repeat.NEVER, plainService, 1));
+    routes.add(route("/safe/", Repeat.WHOLE, plainService, 2));
+    routes.add(route("/chat/", Repeat.RESUME, "engines", 2));
+    routes.add(route("/once/", Repeat.NEVER, "engines", 1));
+    return new ServingConfig(
+        version,
+        routes,
+        Map.of(
+            "plain",
+            new ServiceInfo("plain", "/health", 100, null),
+            "other",
+            new ServiceInfo("other", "/health", 100, null),
+            "engines",
+            new ServiceInfo("engines", "/health", 100, new EngineInfo(8, 10_000))),
+        Map.of(KEY, new Team("team-1", false, -1)),
+        CallerLimits.DEFAULT);
+  }
+
+  private static Route route(String prefix, Repeat repeat, String service, int attempts) {
+    return new Route(
+        prefix,
+        "host",
+        prefix,
+        repeat,
+        service.equals("engines"),
+        List.of(new Route.Target(service, 1)),
+        1,
+        1_200,
+        300,
+        attempts,
+        false,
+        300);
+  }
+
+  CallerRequest request(String path, @Nullable String key) {
+    Prompt prompt =
+        path.startsWith("/chat/") || path.startsWith("/once/")
+            ? new Prompt(
+                MODEL, 10, List.of(new Prompt.Part("a", 500), new Prompt.Part("own", 100)))
+            : null;
+    return new CallerRequest(
+        "id-1", "POST", "host", path, List.of(), new byte[0], 5_000, key, prompt, null,
+        loop.millis());
+  }
+
+  RecordingSink serve(String path) {
+    return serve(path, KEY);
+  }
+
+  RecordingSink serve(String path, @Nullable String key) {
+    RecordingSink sink = new RecordingSink();
+    serving.serve(request(path, key), sink);
+    return sink;
+  }
+}
