--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/PartStore.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/PartStore.java
@@ -41,6 +41,11 @@
   /** A part whose saving was ordered is not ordered again for so long. */
   private static final long SAVE_AGAIN_MS = 3_000;
 
+  private static final double MEGABIT_BYTES = 125_000;
+
+  /** Fetches of all VMs at a store for each one of this VM; the true number is not known here. */
+  private static final double OTHERS_FACTOR = 2;
+
   /** Share of the room that is filled; parts that broke off take room that is not seen. */
   private static final double FULL_SHARE = 0.97;
 
@@ -49,6 +54,7 @@
   private final Map<String, Integer> whole = new HashMap<>();
   private final Map<String, Long> savingSinceMs = new HashMap<>();
   private long heldTokens;
+  private long fetchingTokens;
   private long epoch = -1;
   private long confirmedAtMs = Long.MIN_VALUE / 2;
   private long savesFromMs = Long.MIN_VALUE / 2;
@@ -120,6 +126,22 @@
     return whole.containsKey(key) && fetchUntilMs() - nowMs >= MIN_FETCH_MS;
   }
 
+  /** Notes a fetch that this VM ordered. */
+  void fetching(int tokens) {
+    fetchingTokens += tokens;
+  }
+
+  /** Notes that an ordered fetch is over, or that its request is. */
+  void fetched(int tokens) {
+    fetchingTokens = Math.max(0, fetchingTokens - tokens);
+  }
+
+  /** Returns the expected time of a fetch, behind those that this VM knows of. */
+  double fetchMs(int tokens, double bytesPerToken) {
+    double bytesPerMs = info.linkMbps() * MEGABIT_BYTES / 1_000;
+    return (fetchingTokens * OTHERS_FACTOR + tokens) * bytesPerToken / bytesPerMs;
+  }
+
   boolean holds(String key) {
     return whole.containsKey(key);
   }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/PartStores.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/PartStores.java
@@ -30,6 +30,12 @@
   /** Parts of fewer tokens than this are quicker read than moved. */
   private static final int MIN_TOKENS = 64;
 
+  /** Bytes of a token's state until a service tells its own. */
+  private static final double BYTES_PER_TOKEN = 18_432;
+
+  /** A fetch may take so many times as long as reading, since reading keeps an engine busy. */
+  private static final double FETCH_PATIENCE = 1.5;
+
   /** Longer parts than this go to the largest stores, but for a prompt's first one. */
   private static final int LONG_TOKENS = 1_000;
 
@@ -124,7 +130,13 @@
       Prompt.Part part = prompt.parts().get(i);
       String key = key(scope, part);
       PartStore source = i < shared ? source(key, now) : null;
+      if (source != null && !isWorthFetching(source, part.tokens())) {
+        fetch.add("");
+        save.add("");
+        continue;
+      }
       if (source != null) {
+        source.fetching(part.tokens());
         fetch.add(source.info().address());
         save.add("");
         untilMs = Math.min(untilMs, source.fetchUntilMs());
@@ -140,6 +152,22 @@
     return new PartMoves(fetch, save, untilMs);
   }
 
+  /** Where a store is slow, fetches pile up, and reading is quicker. */
+  private static boolean isWorthFetching(PartStore store, int tokens) {
+    double readMs = tokens * ServerChooser.MS_PER_TOKEN;
+    return store.fetchMs(tokens, BYTES_PER_TOKEN) <= readMs * FETCH_PATIENCE;
+  }
+
+  /** Notes that the planned fetches of a prompt are over. */
+  void fetched(Prompt prompt, PartMoves moves) {
+    for (int i = 0; i < moves.fetch().size(); i++) {
+      PartStore store = byAddress.get(moves.fetch().get(i));
+      if (store != null) {
+        store.fetched(prompt.parts().get(i).tokens());
+      }
+    }
+  }
+
   private @Nullable PartStore source(String key, long now) {
     for (PartStore store : byAddress.values()) {
       if (store.canFetch(key, now)) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
@@ -165,7 +165,7 @@
     long weights = weightsOf(backend, gamble);
     String scope = scope(weights);
     PartMoves moves = moves(info, scope, weights);
-    Attempt next = new Attempt(backend, choice.keptTokens(), info, scope);
+    Attempt next = new Attempt(backend, choice.keptTokens(), info, scope, moves);
     attempt = next;
     next.exchange =
         serving
@@ -379,13 +379,16 @@
     private final long missingTokens;
     private final int cacheTokens;
     private final String scope;
+    private final PartMoves moves;
     private @Nullable Exchange exchange;
     private @Nullable AnswerHead head;
     private boolean prefilling = true;
     private boolean over;
 
-    Attempt(Backend backend, int keptTokens, ServiceInfo info, String scope) {
+    Attempt(
+        Backend backend, int keptTokens, ServiceInfo info, String scope, PartMoves moves) {
       this.backend = backend;
+      this.moves = moves;
       this.scope = scope;
       this.cacheTokens = info.engine() == null ? 0 : info.engine().cacheTokens();
       Prompt prompt = request.prompt();
@@ -412,6 +415,10 @@
       if (prefilling) {
         prefilling = false;
         backend.prefilled(missingTokens);
+        Prompt prompt = request.prompt();
+        if (prompt != null) {
+          serving.state().parts().fetched(prompt, moves);
+        }
       }
     }
 
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServingState.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServingState.java
@@ -132,7 +132,7 @@
 
   /**
    * Returns the servers with older weights of a model than named, in the order in which they are to
-   * load them. Every VM finds the same order, so that requests go elsewhere before a load begins.
+   * load them: the oldest weights first, whose bound ends first. Every VM finds the same order, so that requests go elsewhere before a load begins.
    */
   public List<ServerEntry> rolloutOrder(String model) {
     OptionalLong newest = newestWeights(model);
@@ -148,8 +148,9 @@
     }
     long modelHash = Hashes.placement(model);
     lagging.sort(
-        Comparator.comparingLong(
-            entry -> Hashes.weight(modelHash, Hashes.placement(entry.id()))));
+        Comparator.comparingLong((ServerEntry entry) -> entry.weightVersions().get(model))
+            .thenComparingLong(
+                entry -> Hashes.weight(modelHash, Hashes.placement(entry.id()))));
     return lagging;
   }
 
