--- a/landingtrack/src/main/java/org/landingtrack/internal/base/Logs.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/base/Logs.java
@@ -59,8 +59,8 @@
   }
 
   /**
-   * Writes lines of JSON to standard output through a bounded ring; a full ring drops lines, so that
-   * nothing that is logged ever waits for a reader.
+   * Writes lines of JSON to standard output through a bounded ring; a full ring drops lines, so
+   * that nothing that is logged ever waits for a reader.
    *
    * @param level a Logback level, for example {@code info}
    */
--- a/landingtrack/src/main/java/org/landingtrack/internal/platform/ObjectFeed.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/platform/ObjectFeed.java
@@ -23,9 +23,9 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Follows all objects under a prefix: lists them once, then watches. After any error it lists again,
- * since a watch that broke may wait on without hearing of changes that the store has dropped. One
- * thread each.
+ * Follows all objects under a prefix: lists them once, then watches. After any error it lists
+ * again, since a watch that broke may wait on without hearing of changes that the store has
+ * dropped. One thread each.
  */
 public final class ObjectFeed implements AutoCloseable {
   private static final Logger log = LoggerFactory.getLogger("store");
@@ -66,8 +66,7 @@
    *
    * @param waitMs how long a watch waits; a broken path is noticed after about so long
    */
-  public ObjectFeed(
-      ObjectApi api, String prefix, long waitMs, RandomGenerator random, Sink sink) {
+  public ObjectFeed(ObjectApi api, String prefix, long waitMs, RandomGenerator random, Sink sink) {
     this.api = api;
     this.prefix = prefix;
     this.waitMs = waitMs;
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/DecisionLog.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/DecisionLog.java
@@ -20,7 +20,31 @@
 /** Hears of each decision that touches a request or changes what this VM believes. */
 public interface DecisionLog {
   /** A request was given to a backend server. */
-  void routed(RequestRun run, String server, int attempt, int keptTokens, int candidates);
+  void routed(RequestRun run, RouteFacts facts);
+
+  /**
+   * What decided where a request runs.
+   *
+   * @param attempt counts the sends of the request, from 1
+   * @param candidates servers that could have had it
+   * @param costMs the expected time until it starts to answer, with what it costs others
+   * @param pendingTokens prompt tokens that the server has to read for this VM's requests
+   * @param promptTokens tokens of the prompt
+   * @param keptTokens those that are probably kept by the server or fetched
+   * @param moves parts that are fetched and saved
+   * @param configVersion the configuration that named the service
+   */
+  record RouteFacts(
+      String server,
+      int attempt,
+      int candidates,
+      double costMs,
+      long pendingTokens,
+      int promptTokens,
+      int keptTokens,
+      PartMoves moves,
+      long weights,
+      long configVersion) {}
 
   /** A try ended without an answer for the caller. */
   void tryFailed(RequestRun run, String server, String outcome, String why);
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/PartStore.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/PartStore.java
@@ -20,13 +20,13 @@
 import org.landingtrack.internal.base.Hashes;
 
 /**
- * What this VM knows of one store of prompt parts. The store frees nothing by itself, so a part that
- * was whole stays whole until the store starts anew, empty.
+ * What this VM knows of one store of prompt parts. The store frees nothing by itself, so a part
+ * that was whole stays whole until the store starts anew, empty.
  *
  * <p>What is known is used only for a short time after the store confirmed it, shorter than a store
  * takes to start anew: what a VM believes of the start before is over when the store can be written
- * again. After a new start nothing is saved there for longer than that once more, since VMs may have
- * heard from the old start until its end.
+ * again. After a new start nothing is saved there for longer than that once more, since VMs may
+ * have heard from the old start until its end.
  */
 public final class PartStore {
   /** What the store said last is believed for so long; each fetch ends within it. */
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/PartStores.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/PartStores.java
@@ -62,7 +62,8 @@
       byAddress.put(info.address(), known);
     }
     Comparator<PartStore> bySpeed = Comparator.comparingDouble(store -> -store.info().linkMbps());
-    Comparator<PartStore> bySize = Comparator.comparingLong(store -> -store.info().capacityTokens());
+    Comparator<PartStore> bySize =
+        Comparator.comparingLong(store -> -store.info().capacityTokens());
     fastest = first(bySpeed);
     largest = first(bySize);
     return added;
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
@@ -28,6 +28,7 @@
 import org.landingtrack.internal.serving.BackendTransport.Exchange;
 import org.landingtrack.internal.serving.BackendTransport.NotRunReason;
 import org.landingtrack.internal.serving.BackendTransport.StreamEvent;
+import org.landingtrack.internal.serving.DecisionLog.RouteFacts;
 import org.landingtrack.internal.serving.Route.Repeat;
 import org.landingtrack.internal.serving.ServerChooser.Choice;
 
@@ -161,10 +162,25 @@
     long leftMs = endsAtMs - loop.millis();
     sends++;
     tried.add(backend.entry().id());
-    serving.log().routed(this, backend.entry().id(), sends, choice.keptTokens(), usable.size());
     long weights = weightsOf(backend, gamble);
     String scope = scope(weights);
     PartMoves moves = moves(info, scope, weights);
+    Prompt prompt = request.prompt();
+    serving
+        .log()
+        .routed(
+            this,
+            new RouteFacts(
+                backend.entry().id(),
+                sends,
+                usable.size(),
+                choice.costMs(),
+                backend.pendingTokens(),
+                prompt == null ? 0 : prompt.tokens(),
+                choice.keptTokens(),
+                moves,
+                weights,
+                config.version()));
     Attempt next = new Attempt(backend, choice.keptTokens(), info, scope, moves);
     attempt = next;
     next.exchange =
@@ -209,8 +225,8 @@
   }
 
   /**
-   * Kept state is found only under the scope in which it was made: a version of the weights, and the
-   * team if it is isolated.
+   * Kept state is found only under the scope in which it was made: a version of the weights, and
+   * the team if it is isolated.
    */
   private String scope(long weights) {
     String version = "v" + weights;
@@ -236,18 +252,14 @@
 
   private OptionalLong newestWeights() {
     Prompt prompt = request.prompt();
-    return prompt == null
-        ? OptionalLong.empty()
-        : serving.state().newestWeights(prompt.model());
+    return prompt == null ? OptionalLong.empty() : serving.state().newestWeights(prompt.model());
   }
 
   private OptionalLong oldestWeights() {
     Prompt prompt = request.prompt();
     return prompt == null
         ? OptionalLong.empty()
-        : serving
-            .state()
-            .oldestUsableWeights(prompt.model(), serving.options().oldWeightsMs());
+        : serving.state().oldestUsableWeights(prompt.model(), serving.options().oldWeightsMs());
   }
 
   /**
@@ -385,8 +397,7 @@
     private boolean prefilling = true;
     private boolean over;
 
-    Attempt(
-        Backend backend, int keptTokens, ServiceInfo info, String scope, PartMoves moves) {
+    Attempt(Backend backend, int keptTokens, ServiceInfo info, String scope, PartMoves moves) {
       this.backend = backend;
       this.moves = moves;
       this.scope = scope;
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerBook.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerBook.java
@@ -118,9 +118,7 @@
   private void index() {
     byService.clear();
     for (Backend backend : backends.values()) {
-      byService
-          .computeIfAbsent(backend.entry().service(), name -> new ArrayList<>())
-          .add(backend);
+      byService.computeIfAbsent(backend.entry().service(), name -> new ArrayList<>()).add(backend);
     }
   }
 
@@ -182,8 +180,6 @@
   }
 
   private boolean mayHaveLapsed(Backend backend, long now) {
-    return backend.isRemoved()
-        && !backend.entry().leaving()
-        && now - storeBackAtMs < lapsedMs;
+    return backend.isRemoved() && !backend.entry().leaving() && now - storeBackAtMs < lapsedMs;
   }
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServingState.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServingState.java
@@ -52,8 +52,7 @@
    *
    * @param maxSavedRetries retries of a service that this VM may save up
    */
-  public ServingState(
-      EventLoop loop, ServerBook servers, DecisionLog log, double maxSavedRetries) {
+  public ServingState(EventLoop loop, ServerBook servers, DecisionLog log, double maxSavedRetries) {
     this.loop = loop;
     this.servers = servers;
     this.parts = new PartStores(loop);
@@ -132,7 +131,8 @@
 
   /**
    * Returns the servers with older weights of a model than named, in the order in which they are to
-   * load them: the oldest weights first, whose bound ends first. Every VM finds the same order, so that requests go elsewhere before a load begins.
+   * load them: the oldest weights first, whose bound ends first. Every VM finds the same order, so
+   * that requests go elsewhere before a load begins.
    */
   public List<ServerEntry> rolloutOrder(String model) {
     OptionalLong newest = newestWeights(model);
@@ -149,8 +149,7 @@
     long modelHash = Hashes.placement(model);
     lagging.sort(
         Comparator.comparingLong((ServerEntry entry) -> entry.weightVersions().get(model))
-            .thenComparingLong(
-                entry -> Hashes.weight(modelHash, Hashes.placement(entry.id()))));
+            .thenComparingLong(entry -> Hashes.weight(modelHash, Hashes.placement(entry.id()))));
     return lagging;
   }
 
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/StructuredDecisionLog.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/StructuredDecisionLog.java
@@ -39,12 +39,19 @@
   }
 
   @Override
-  public void routed(RequestRun run, String server, int attempt, int keptTokens, int candidates) {
+  public void routed(RequestRun run, RouteFacts facts) {
     line(run, Level.INFO)
-        .addKeyValue("server", server)
-        .addKeyValue("attempt", attempt)
-        .addKeyValue("keptTokens", keptTokens)
-        .addKeyValue("candidates", candidates)
+        .addKeyValue("server", facts.server())
+        .addKeyValue("attempt", facts.attempt())
+        .addKeyValue("candidates", facts.candidates())
+        .addKeyValue("costMs", Math.round(facts.costMs()))
+        .addKeyValue("pendingTokens", facts.pendingTokens())
+        .addKeyValue("promptTokens", facts.promptTokens())
+        .addKeyValue("keptTokens", facts.keptTokens())
+        .addKeyValue("fetch", facts.moves().fetch())
+        .addKeyValue("save", facts.moves().save())
+        .addKeyValue("weights", facts.weights())
+        .addKeyValue("configVersion", facts.configVersion())
         .log("routed");
   }
 
--- a/landingtrack/src/main/java/org/landingtrack/internal/settings/CommonKeys.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/settings/CommonKeys.java
@@ -38,7 +38,8 @@
 
   static final List<SettingKey> KEYS =
       List.of(
-          SettingKey.text("process", null, "gateway|controller|entry", "gateway, controller or entry"),
+          SettingKey.text(
+              "process", null, "gateway|controller|entry", "gateway, controller or entry"),
           SettingKey.text("vm", null, NAME, NAME_RULE),
           SettingKey.text("dataCentre", null, NAME, NAME_RULE),
           SettingKey.text("region", "default", NAME, NAME_RULE),
--- a/landingtrack/src/main/java/org/landingtrack/internal/weights/EngineControl.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/weights/EngineControl.java
@@ -43,8 +43,7 @@
    * @param holder who gives the order
    * @param epoch fencing token
    */
-  record LoadOrder(
-      String model, long version, long ordersTaken, String holder, long epoch) {}
+  record LoadOrder(String model, long version, long ordersTaken, String holder, long epoch) {}
 
   /** What became of an order. */
   enum Outcome {
--- a/landingtrack/src/main/java/org/landingtrack/internal/weights/VersionRollout.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/weights/VersionRollout.java
@@ -220,8 +220,7 @@
       return;
     }
     LoadOrder order =
-        new LoadOrder(
-            task.model(), task.version(), report.ordersTaken(), self, epoch.getAsLong());
+        new LoadOrder(task.model(), task.version(), report.ordersTaken(), self, epoch.getAsLong());
     Ordered given = new Ordered(task.version(), report.ordersTaken(), ticker.millis());
     ordered.put(task.engine().id(), given);
     Outcome outcome = control.load(task.engine(), order);
--- a/landingtrack/src/test/java/org/landingtrack/internal/platform/ObjectFeedTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/platform/ObjectFeedTest.java
@@ -45,26 +45,26 @@
         1_000,
         new Random(1),
         new ObjectFeed.Sink() {
-            @Override
-            public void replaced(Listing all) {
-              heard.add("all " + all.objects().size() + " at " + all.revision());
-            }
+          @Override
+          public void replaced(Listing all) {
+            heard.add("all " + all.objects().size() + " at " + all.revision());
+          }
 
-            @Override
-            public void changed(Listing changes) {
-              heard.add("changed " + changes.objects().size() + " at " + changes.revision());
-            }
+          @Override
+          public void changed(Listing changes) {
+            heard.add("changed " + changes.objects().size() + " at " + changes.revision());
+          }
 
-            @Override
-            public void lost() {
-              heard.add("lost");
-            }
+          @Override
+          public void lost() {
+            heard.add("lost");
+          }
 
-            @Override
-            public void regained() {
-              heard.add("regained");
-            }
-          });
+          @Override
+          public void regained() {
+            heard.add("regained");
+          }
+        });
   }
 
   @Test
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/PartStoresTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/PartStoresTest.java
@@ -28,11 +28,9 @@
 
 public final class PartStoresTest {
   private static final String ADDRESS = "10.0.0.9:80";
-  private static final StoreInfo STORE =
-      new StoreInfo("parts", ADDRESS, "dc-1", 10_000, 100_000);
+  private static final StoreInfo STORE = new StoreInfo("parts", ADDRESS, "dc-1", 10_000, 100_000);
   private static final Prompt PROMPT =
-      new Prompt(
-          "m", 10, List.of(new Prompt.Part("a", 500), new Prompt.Part("own", 100)));
+      new Prompt("m", 10, List.of(new Prompt.Part("a", 500), new Prompt.Part("own", 100)));
 
   private ManualLoop loop = new ManualLoop();
   private PartStores stores = new PartStores(loop);
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/RequestRunTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/RequestRunTest.java
@@ -135,8 +135,7 @@
     second.event("2");
     second.event("3");
     second.listener.ended(new byte[0]);
-    assertEquals(
-        sink.seen.toString(), "stream 200; event id: 1; event id: 2; event id: 3; end");
+    assertEquals(sink.seen.toString(), "stream 200; event id: 1; event id: 2; event id: 3; end");
   }
 
   @Test
@@ -244,8 +243,7 @@
     world.serve("/chat/x");
     FakeTransport.Sent first = world.transport.last();
     assertEquals(first.call.weightVersion(), OptionalLong.of(2));
-    first.listener.head(
-        new BackendTransport.AnswerHead(200, List.of(), true, OptionalLong.of(2)));
+    first.listener.head(new BackendTransport.AnswerHead(200, List.of(), true, OptionalLong.of(2)));
     world.serve("/chat/x");
     assertEquals(world.transport.last().call.serverId(), first.call.serverId());
     assertEquals(world.transport.last().call.weightVersion(), OptionalLong.of(2));
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/ServingWorld.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/ServingWorld.java
@@ -110,11 +110,19 @@
   CallerRequest request(String path, @Nullable String key) {
     Prompt prompt =
         path.startsWith("/chat/") || path.startsWith("/once/")
-            ? new Prompt(
-                MODEL, 10, List.of(new Prompt.Part("a", 500), new Prompt.Part("own", 100)))
+            ? new Prompt(MODEL, 10, List.of(new Prompt.Part("a", 500), new Prompt.Part("own", 100)))
             : null;
     return new CallerRequest(
-        "id-1", "POST", "host", path, List.of(), new byte[0], 5_000, key, prompt, null,
+        "id-1",
+        "POST",
+        "host",
+        path,
+        List.of(),
+        new byte[0],
+        5_000,
+        key,
+        prompt,
+        null,
         loop.millis());
   }
 
