--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/base/Hangup.java
@@ -0,0 +1,65 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.base;
+
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.Method;
+import java.lang.reflect.Proxy;
+
+/**
+ * Runs a task on SIGHUP, which otherwise ends a JVM. The JDK's class for signals is outside of its
+ * public API, so it is reached by reflection.
+ */
+public final class Hangup {
+  private static final String SIGNAL = "sun.misc.Signal";
+  private static final String HANDLER = "sun.misc.SignalHandler";
+
+  private Hangup() {}
+
+  /** Runs the task, on a thread of its own, at each SIGHUP from now on. */
+  public static void handle(Runnable task) {
+    try {
+      Class<?> signal = Class.forName(SIGNAL);
+      Class<?> handler = Class.forName(HANDLER);
+      Object proxy =
+          Proxy.newProxyInstance(
+              Hangup.class.getClassLoader(),
+              new Class<?>[] {handler},
+              (self, method, args) -> answer(self, method, args, task));
+      Object hup = signal.getConstructor(String.class).newInstance("HUP");
+      Method handle = signal.getMethod("handle", signal, handler);
+      var unused = handle.invoke(null, hup, proxy);
+    } catch (ClassNotFoundException
+        | NoSuchMethodException
+        | InstantiationException
+        | IllegalAccessException
+        | InvocationTargetException e) {
+      throw new IllegalStateException("this JVM has no signal handlers", e);
+    }
+  }
+
+  private static Object answer(Object self, Method method, Object[] args, Runnable task) {
+    return switch (method.getName()) {
+      case "handle" -> {
+        task.run();
+        yield true;
+      }
+      case "equals" -> self == args[0];
+      case "hashCode" -> System.identityHashCode(self);
+      default -> "hangup handler";
+    };
+  }
+}
--- a/landingtrack/src/main/java/org/landingtrack/internal/base/Logs.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/base/Logs.java
@@ -86,6 +86,12 @@
     context.getLogger("io.netty").setLevel(Level.WARN);
   }
 
+  /** Sets the level of all parts that have none of their own. */
+  public static void level(String level) {
+    LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+    context.getLogger(Logger.ROOT_LOGGER_NAME).setLevel(Level.toLevel(level, Level.INFO));
+  }
+
   /** Writes what still waits, for a moment at most. For the end of a process. */
   public static void flush() {
     ((LoggerContext) LoggerFactory.getILoggerFactory()).stop();
--- a/landingtrack/src/main/java/org/landingtrack/internal/settings/EntrySettings.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/settings/EntrySettings.java
@@ -81,6 +81,28 @@
     return List.copyOf(keys);
   }
 
+  /** Returns these settings with another log level. */
+  public EntrySettings withLogLevel(String level) {
+    return new EntrySettings(
+        vm,
+        dataCentre,
+        level,
+        callersAddress,
+        readinessAddress,
+        peersAddress,
+        peersSeeds,
+        storeAddress,
+        storeReadsPerSecond,
+        storeWritesPerSecond,
+        stopGraceMs,
+        leavingMs,
+        retryShare,
+        retryExtra,
+        leaseMs,
+        weightsMs,
+        fencesChecked);
+  }
+
   /** Reads a file; throws {@link SettingsException} on the first fault. */
   public static EntrySettings read(Path path) {
     SettingsReader.Values v = SettingsReader.read(path, KEYS);
