--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/PeerLoads.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/PeerLoads.java
@@ -136,7 +136,7 @@
 
   private void addUp() {
     long now = ticker.millis();
-    long turns = 1 + peers.size() / PEERS_A_ROUND;
+    long turns = 1L + peers.size() / PEERS_A_ROUND;
     long freshMs = FRESH_ROUNDS * ROUND_MS * turns;
     totals.clear();
     for (Peer peer : peers.values()) {
