--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/MeteredDecisionLog.java
@@ -0,0 +1,115 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.serving;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import org.landingtrack.ErrorKind;
+import org.landingtrack.internal.base.Metrics;
+
+/**
+ * Counts decisions and passes them on to the log. Labels are services, of which a configuration has
+ * a few, and closed lists of outcomes.
+ */
+public final class MeteredDecisionLog implements DecisionLog {
+  private static final double MS_PER_SECOND = 1_000;
+
+  private final DecisionLog log;
+  private final Counter answered;
+  private final Counter refused;
+  private final Counter cut;
+  private final Counter failedTries;
+  private final Counter serverChanges;
+  private final Histogram first;
+  private final Histogram total;
+
+  /** Creates a log that counts and passes on. */
+  public MeteredDecisionLog(DecisionLog log, Metrics metrics) {
+    this.log = log;
+    this.answered =
+        metrics.counter(
+            "landingtrack_answers_total", "Answers of backend servers.", "service", "status");
+    this.refused =
+        metrics.counter(
+            "landingtrack_refusals_total", "Answers of landingtrack's own.", "service", "kind");
+    this.cut = metrics.counter("landingtrack_cuts_total", "Requests broken off.", "service");
+    this.failedTries =
+        metrics.counter(
+            "landingtrack_failed_tries_total",
+            "Sends without an answer for the caller.",
+            "service");
+    this.serverChanges =
+        metrics.counter("landingtrack_server_changes_total", "News of servers.", "change");
+    this.first =
+        metrics.histogram(
+            "landingtrack_first_event_seconds", "Until the first byte of an answer.", "service");
+    this.total =
+        metrics.histogram("landingtrack_answer_seconds", "Until the end of an answer.", "service");
+  }
+
+  @Override
+  public void routed(RequestRun run, RouteFacts facts) {
+    log.routed(run, facts);
+  }
+
+  @Override
+  public void tryFailed(RequestRun run, String server, String outcome, String why) {
+    failedTries.labelValues(run.service()).inc();
+    log.tryFailed(run, server, outcome, why);
+  }
+
+  @Override
+  public void answered(RequestRun run, String server, int status, long firstMs, long totalMs) {
+    answered.labelValues(run.service(), Integer.toString(status)).inc();
+    first.labelValues(run.service()).observe(firstMs / MS_PER_SECOND);
+    total.labelValues(run.service()).observe(totalMs / MS_PER_SECOND);
+    log.answered(run, server, status, firstMs, totalMs);
+  }
+
+  @Override
+  public void refused(RequestRun run, ErrorKind kind, String why, long retryAfterMs) {
+    refused.labelValues(run.service(), kind.name()).inc();
+    log.refused(run, kind, why, retryAfterMs);
+  }
+
+  @Override
+  public void cut(RequestRun run, String server, String why) {
+    cut.labelValues(run.service()).inc();
+    log.cut(run, server, why);
+  }
+
+  @Override
+  public void server(String change, ServerEntry entry, long revision) {
+    serverChanges.labelValues(change).inc();
+    log.server(change, entry, revision);
+  }
+
+  @Override
+  public void ejected(String server, String why) {
+    serverChanges.labelValues("ejected").inc();
+    log.ejected(server, why);
+  }
+
+  @Override
+  public void config(long version, long revision) {
+    log.config(version, revision);
+  }
+
+  @Override
+  public void weights(String model, long version, long revision) {
+    log.weights(model, version, revision);
+  }
+}
