--- a/landingtrack/src/main/java/org/landingtrack/internal/settings/CommonKeys.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/settings/CommonKeys.java
@@ -34,12 +34,12 @@
   private static final String TLS_AUTHORITY = "tls.authority";
   private static final String FILE = ".+";
   private static final String FILE_RULE = "the path of a PEM file";
+  static final String PROCESS = "process";
   static final int MAX_PORT = 65_535;
 
   static final List<SettingKey> KEYS =
       List.of(
-          SettingKey.text(
-              "process", null, "gateway|controller|entry", "gateway, controller or entry"),
+          SettingKey.text(PROCESS, null, "gateway|controller", "gateway or controller"),
           SettingKey.text("vm", null, NAME, NAME_RULE),
           SettingKey.text("dataCentre", null, NAME, NAME_RULE),
           SettingKey.text("region", "default", NAME, NAME_RULE),
--- a/landingtrack/src/main/java/org/landingtrack/internal/settings/EntrySettings.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/settings/EntrySettings.java
@@ -63,6 +63,8 @@
 
   private static List<SettingKey> keys() {
     List<SettingKey> keys = new ArrayList<>(CommonKeys.KEYS);
+    keys.removeIf(key -> key.path().equals(CommonKeys.PROCESS));
+    keys.add(SettingKey.text(CommonKeys.PROCESS, null, "entry", "entry"));
     for (String address :
         List.of("callers.address", "readiness.address", "peers.address", "store.address")) {
       keys.add(SettingKey.text(address, null, CommonKeys.ADDRESS, CommonKeys.ADDRESS_RULE));
