--- a/landingtrack/src/main/java/org/landingtrack/internal/cli/ProcessCommand.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/cli/ProcessCommand.java
@@ -24,6 +24,7 @@
 import org.landingtrack.internal.controller.ControllerProcess;
 import org.landingtrack.internal.gateway.GatewayProcess;
 import org.landingtrack.internal.settings.ControllerSettings;
+import org.landingtrack.internal.settings.EntrySettings;
 import org.landingtrack.internal.settings.GatewaySettings;
 import org.landingtrack.internal.tls.TlsFiles;
 import org.landingtrack.internal.tls.TlsIdentities;
@@ -76,24 +77,36 @@
     Runtime.getRuntime().addShutdownHook(new Thread(stop, "stop"));
   }
 
-  /** Reads a file by the key {@code process} in it, so that one command checks both kinds. */
+  /** Reads a file by the key {@code process} in it, so that one command checks all kinds. */
   static int check(Path file) {
+    String process = process(file);
+    if (process.equals("entry")) {
+      // The balancer ends the TLS of callers; an entry process has no section for it.
+      var unused = EntrySettings.read(file);
+      return ok(file);
+    }
     TlsFiles tls =
-        isGateway(file) ? GatewaySettings.read(file).tls() : ControllerSettings.read(file).tls();
+        process.equals("gateway")
+            ? GatewaySettings.read(file).tls()
+            : ControllerSettings.read(file).tls();
     if (tls != null) {
       var unused = TlsIdentities.load(tls);
     }
+    return ok(file);
+  }
+
+  private static int ok(Path file) {
     System.out.println(file + ": ok");
     return ExitCodes.DONE;
   }
 
-  private static boolean isGateway(Path file) {
+  private static String process(Path file) {
     try {
       JsonNode tree = PEEK.readTree(Files.readString(file));
-      return tree != null && tree.path("process").asText().equals("gateway");
+      return tree == null ? "" : tree.path("process").asText();
     } catch (IOException e) {
       // The checked reading names the fault with its line.
-      return false;
+      return "";
     }
   }
 }
