--- a/landingtrack/src/main/java/org/landingtrack/internal/base/Logs.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/base/Logs.java
@@ -15,7 +15,6 @@
  */
 package org.landingtrack.internal.base;
 
-import ch.qos.logback.classic.AsyncAppender;
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.encoder.JsonEncoder;
@@ -23,6 +22,7 @@
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.ConsoleAppender;
 import ch.qos.logback.core.encoder.Encoder;
+import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -31,8 +31,13 @@
   /** Lines that may wait for the reader of standard output. */
   private static final int RING_SIZE = 2_048;
 
+  /** The part that tells of starts, stops and reloads. */
+  private static final String PROCESS = "process";
+
   private static final String PATTERN = "%d{HH:mm:ss.SSS} %-5level [%logger] %msg%n";
 
+  private static volatile @Nullable CountingRing lines;
+
   private Logs() {}
 
   /**
@@ -74,27 +79,36 @@
     console.setContext(context);
     console.setEncoder(encoder);
     console.start();
-    AsyncAppender ring = new AsyncAppender();
+    CountingRing ring = new CountingRing(RING_SIZE);
     ring.setContext(context);
-    ring.setQueueSize(RING_SIZE);
-    ring.setNeverBlock(true);
     ring.addAppender(console);
     ring.start();
     ch.qos.logback.classic.Logger root = context.getLogger(Logger.ROOT_LOGGER_NAME);
-    root.setLevel(Level.toLevel(level, Level.INFO));
     root.addAppender(ring);
+    level(level);
+    lines = ring;
     context.getLogger("io.netty").setLevel(Level.WARN);
   }
 
-  /** Sets the level of all parts that have none of their own. */
+  /** Returns how many lines the ring dropped so far; 0 where there is none. */
+  public static long droppedLines() {
+    CountingRing ring = lines;
+    return ring == null ? 0 : ring.dropped();
+  }
+
+  /** Sets the level of all parts; starts, stops and reloads are told at every level. */
   public static void level(String level) {
     LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
     context.getLogger(Logger.ROOT_LOGGER_NAME).setLevel(Level.toLevel(level, Level.INFO));
+    context.getLogger(PROCESS).setLevel(Level.INFO);
   }
 
   /** Writes what still waits, for a moment at most. For the end of a process. */
   public static void flush() {
-    ((LoggerContext) LoggerFactory.getILoggerFactory()).stop();
+    CountingRing ring = lines;
+    if (ring != null) {
+      ring.stop();
+    }
   }
 
   private static Encoder<ILoggingEvent> encoder(String format, LoggerContext context) {
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/BoundedDecisionLog.java
@@ -0,0 +1,140 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.serving;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.landingtrack.ErrorKind;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Bounds the lines of requests that succeed. Each second the first requests have all their lines;
+ * of more, the lines are held until the request ends, written if it fails, and counted otherwise.
+ * Runs on the event loop.
+ */
+public final class BoundedDecisionLog implements DecisionLog {
+  private static final Logger log = LoggerFactory.getLogger("request");
+
+  /** Seven times the requests of a VM on the users' calm days; about 25 KB a second of lines. */
+  static final int REQUESTS_A_SECOND = 100;
+
+  private static final long SECOND_MS = 1_000;
+  private static final int FIRST_FAILURE = 400;
+
+  private final DecisionLog lines;
+  private final EventLoop loop;
+  private final Map<RequestRun, List<RouteFacts>> held = new HashMap<>();
+  private long secondStartMs;
+  private int requests;
+  private long leftOut;
+
+  /** Creates a log that passes on to {@code lines} what is to be written. */
+  public BoundedDecisionLog(DecisionLog lines, EventLoop loop) {
+    this.lines = lines;
+    this.loop = loop;
+    this.secondStartMs = loop.millis();
+  }
+
+  @Override
+  public void routed(RequestRun run, RouteFacts facts) {
+    List<RouteFacts> earlier = held.get(run);
+    if (earlier != null) {
+      earlier.add(facts);
+      return;
+    }
+    if (facts.attempt() == 1 && !takePlace()) {
+      held.put(run, new ArrayList<>(List.of(facts)));
+      return;
+    }
+    lines.routed(run, facts);
+  }
+
+  private boolean takePlace() {
+    long now = loop.millis();
+    if (now - secondStartMs >= SECOND_MS) {
+      secondStartMs = now;
+      requests = 0;
+      tellLeftOut();
+    }
+    requests++;
+    return requests <= REQUESTS_A_SECOND;
+  }
+
+  private void tellLeftOut() {
+    if (leftOut > 0) {
+      log.atInfo().addKeyValue("requests", leftOut).log("successes left out");
+      leftOut = 0;
+    }
+  }
+
+  private void writeHeld(RequestRun run) {
+    List<RouteFacts> facts = held.remove(run);
+    if (facts != null) {
+      facts.forEach(each -> lines.routed(run, each));
+    }
+  }
+
+  @Override
+  public void tryFailed(RequestRun run, String server, String outcome, String why) {
+    writeHeld(run);
+    lines.tryFailed(run, server, outcome, why);
+  }
+
+  @Override
+  public void answered(RequestRun run, String server, int status, long firstMs, long totalMs) {
+    if (status < FIRST_FAILURE && held.remove(run) != null) {
+      leftOut++;
+      return;
+    }
+    writeHeld(run);
+    lines.answered(run, server, status, firstMs, totalMs);
+  }
+
+  @Override
+  public void refused(RequestRun run, ErrorKind kind, String why, long retryAfterMs) {
+    writeHeld(run);
+    lines.refused(run, kind, why, retryAfterMs);
+  }
+
+  @Override
+  public void cut(RequestRun run, String server, String why) {
+    writeHeld(run);
+    lines.cut(run, server, why);
+  }
+
+  @Override
+  public void server(String change, ServerEntry entry, long revision) {
+    lines.server(change, entry, revision);
+  }
+
+  @Override
+  public void ejected(String server, String why) {
+    lines.ejected(server, why);
+  }
+
+  @Override
+  public void config(long version, long revision) {
+    lines.config(version, revision);
+  }
+
+  @Override
+  public void weights(String model, long version, long revision) {
+    lines.weights(model, version, revision);
+  }
+}
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/DecisionLog.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/DecisionLog.java
@@ -25,6 +25,7 @@
   /**
    * What decided where a request runs.
    *
+   * @param ageMs how long ago the request came when this was decided
    * @param attempt counts the sends of the request, from 1
    * @param candidates servers that could have had it
    * @param costMs the expected time until it starts to answer, with what it costs others
@@ -36,6 +37,7 @@
    */
   record RouteFacts(
       String server,
+      long ageMs,
       int attempt,
       int candidates,
       double costMs,
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
@@ -172,6 +172,7 @@
             this,
             new RouteFacts(
                 backend.entry().id(),
+                ageMs(),
                 sends,
                 usable.size(),
                 choice.costMs(),
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/StructuredDecisionLog.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/StructuredDecisionLog.java
@@ -29,18 +29,22 @@
   private static final Logger weights = LoggerFactory.getLogger("weights");
 
   private static LoggingEventBuilder line(RequestRun run, Level level) {
+    return line(run, level, run.ageMs());
+  }
+
+  private static LoggingEventBuilder line(RequestRun run, Level level, long ageMs) {
     return requests
         .atLevel(level)
         .addKeyValue("requestId", run.request().id())
         .addKeyValue("route", run.routeName())
         .addKeyValue("service", run.service())
         .addKeyValue("team", run.teamName())
-        .addKeyValue("ageMs", run.ageMs());
+        .addKeyValue("ageMs", ageMs);
   }
 
   @Override
   public void routed(RequestRun run, RouteFacts facts) {
-    line(run, Level.INFO)
+    line(run, Level.INFO, facts.ageMs())
         .addKeyValue("server", facts.server())
         .addKeyValue("attempt", facts.attempt())
         .addKeyValue("candidates", facts.candidates())
--- /dev/null
+++ b/landingtrack/src/test/java/org/landingtrack/internal/base/CapturedLines.java
@@ -0,0 +1,62 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.base;
+
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.util.ContextInitializer;
+import ch.qos.logback.core.joran.spi.JoranException;
+import java.io.ByteArrayOutputStream;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.slf4j.LoggerFactory;
+
+/** Takes standard output's place for the lines of a process, until it is closed. */
+public final class CapturedLines implements AutoCloseable {
+  private final PrintStream before = System.out;
+  private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+
+  /** Captures lines. */
+  public CapturedLines() {
+    this(null);
+  }
+
+  /** Gives lines to a reader of the test's own, or captures them if there is none. */
+  public CapturedLines(OutputStream reader) {
+    System.setOut(new PrintStream(reader == null ? bytes : reader, true, StandardCharsets.UTF_8));
+    Logs.configureLines("info");
+  }
+
+  /** Ends the logging and returns the lines written. */
+  public List<String> lines() {
+    Logs.flush();
+    return bytes.toString(StandardCharsets.UTF_8).lines().toList();
+  }
+
+  @Override
+  public void close() {
+    Logs.flush();
+    System.setOut(before);
+    LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+    context.reset();
+    try {
+      new ContextInitializer(context).autoConfig();
+    } catch (JoranException e) {
+      throw new IllegalStateException("the tests' own logging cannot be set up again", e);
+    }
+  }
+}
--- /dev/null
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/DecisionLinesTest.java
@@ -0,0 +1,107 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.serving;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.ArrayList;
+import java.util.List;
+import org.landingtrack.internal.base.CapturedLines;
+import org.landingtrack.internal.serving.BackendTransport.NotRunReason;
+import org.testng.annotations.Test;
+
+/** The lines that decisions leave on standard output. */
+public final class DecisionLinesTest {
+  private static final int FLOOD = 3 * BoundedDecisionLog.REQUESTS_A_SECOND;
+
+  private static List<JsonNode> parse(List<String> lines) throws Exception {
+    List<JsonNode> parsed = new ArrayList<>();
+    for (String line : lines) {
+      parsed.add(new ObjectMapper().readTree(line));
+    }
+    return parsed;
+  }
+
+  private static int count(List<JsonNode> lines, String event) {
+    int count = 0;
+    for (JsonNode line : lines) {
+      if (line.path("event").asText().equals(event)) {
+        count++;
+      }
+    }
+    return count;
+  }
+
+  @Test
+  public void eachDecisionIsALineWithTheRequestsId() throws Exception {
+    try (CapturedLines captured = new CapturedLines()) {
+      ServingWorld world = new ServingWorld();
+      world.serve("/never/x");
+      world.transport.last().answer(200, "hello");
+      world.serve("/safe/x");
+      world.transport.last().listener.broken("reset \"by\" peer\n");
+      world.transport.last().answer(200, "hello");
+      world.serve("/never/x");
+      world.transport.last().listener.notRun(NotRunReason.FULL, "full");
+      world.serve("/once/x");
+      world.transport.last().startStream();
+      world.transport.last().listener.broken("reset");
+      List<JsonNode> lines = parse(captured.lines());
+      for (JsonNode line : lines) {
+        assertTrue(line.has("time") && line.has("part") && line.has("event"), line.toString());
+        boolean ofRequest = line.path("part").asText().equals("request");
+        assertEquals(line.path("requestId").asText(), ofRequest ? "id-1" : "", line.toString());
+      }
+      assertEquals(count(lines, "configuration in force"), 1);
+      assertEquals(count(lines, "server joined"), 5);
+      assertEquals(count(lines, "routed"), 5);
+      assertEquals(count(lines, "try failed"), 3);
+      assertEquals(count(lines, "answered"), 2);
+      assertEquals(count(lines, "refused"), 1);
+      assertEquals(count(lines, "cut"), 1);
+    }
+  }
+
+  /** In a flood successes are counted instead of told, and failures keep all their lines. */
+  @Test
+  public void aFloodIsBoundedAndFailuresStayWhole() throws Exception {
+    try (CapturedLines captured = new CapturedLines()) {
+      ServingWorld world = new ServingWorld();
+      for (int i = 0; i < FLOOD; i++) {
+        world.serve("/never/x");
+        world.transport.last().answer(200, "hello");
+      }
+      world.serve("/never/x");
+      world.loop.advance(300);
+      world.transport.last().listener.broken("reset");
+      world.loop.advance(700);
+      world.serve("/never/x");
+      List<JsonNode> lines = parse(captured.lines());
+      assertEquals(count(lines, "routed"), BoundedDecisionLog.REQUESTS_A_SECOND + 2);
+      assertEquals(count(lines, "answered"), BoundedDecisionLog.REQUESTS_A_SECOND);
+      assertEquals(count(lines, "refused"), 1);
+      JsonNode leftOut = lines.get(lines.size() - 2);
+      assertEquals(leftOut.path("event").asText(), "successes left out");
+      assertEquals(leftOut.path("requests").asInt(), FLOOD - BoundedDecisionLog.REQUESTS_A_SECOND);
+      JsonNode late = lines.get(lines.size() - 5);
+      assertEquals(late.path("event").asText(), "routed");
+      assertEquals(late.path("ageMs").asInt(), 0, "the age at the decision");
+    }
+  }
+}
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/RequestRunTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/RequestRunTest.java
@@ -21,6 +21,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalLong;
 import org.landingtrack.internal.serving.BackendTransport.NotRunReason;
 import org.testng.annotations.BeforeMethod;
@@ -77,6 +78,8 @@
     return new Object[][] {
       {"/never/x", false, "refused OUTCOME_UNKNOWN"},
       {"/once/x", false, "refused OUTCOME_UNKNOWN"},
+      {"/unsafe/x", false, "refused OUTCOME_UNKNOWN"},
+      {"/unresumable/x", false, "refused OUTCOME_UNKNOWN"},
       {"/safe/x", true, ""},
       {"/chat/x", true, ""},
     };
@@ -103,6 +106,17 @@
     assertTrue(sink.retryAfterMs > 0);
   }
 
+  /** A send that was refused may be repeated; after one in doubt nothing may, nor be promised. */
+  @Test
+  public void oneSendInDoubtEndsARequestThatMayRunOnce() {
+    RecordingSink sink = world.serve("/unsafe/x");
+    world.transport.last().listener.notRun(NotRunReason.FULL, "full");
+    assertEquals(world.transport.sends.size(), 2);
+    world.transport.last().listener.broken("reset");
+    assertEquals(world.transport.sends.size(), 2);
+    assertEquals(sink.seen.toString(), "refused OUTCOME_UNKNOWN");
+  }
+
   @Test
   public void aFailedConnectIsNoSend() {
     RecordingSink sink = world.serve("/never/x");
@@ -262,4 +276,47 @@
     assertTrue(again <= 3 + 20, "sent again: " + again);
     assertFalse(again == 0);
   }
+
+  /** The caller's deadline, how long the first server had it, and what the second one is given. */
+  @DataProvider
+  public Object[][] deadlines() {
+    return new Object[][] {
+      {5_000, 0, 1_200},
+      {5_000, 700, 500},
+      {900, 0, 900},
+      {900, 700, 200},
+    };
+  }
+
+  @Test(dataProvider = "deadlines")
+  public void noServerIsGivenMoreTimeThanIsLeft(long deadlineMs, long passedMs, long leftMs) {
+    CallerRequest request = world.request("/safe/x", ServingWorld.KEY, deadlineMs);
+    world.serving.serve(request, new RecordingSink());
+    assertEquals(world.transport.last().call.leftMs(), Math.min(deadlineMs, 1_200));
+    world.loop.advance(passedMs);
+    world.transport.last().listener.broken("reset");
+    assertEquals(world.transport.sends.size(), 2);
+    assertEquals(world.transport.last().call.leftMs(), leftMs);
+  }
+
+  /** What one team's request left in a store or an engine is neither found nor fetched. */
+  @Test
+  public void anIsolatedTeamSharesNoPartWithOthers() {
+    PartStores stores = world.state.parts();
+    String address = ServingWorld.STORE.address();
+    stores.listed(address, 1, Map.of());
+    world.loop.advance(2_000);
+    stores.changed(address, 1, Map.of("v1/a", 500), List.of());
+    world.serve("/chat/x", ServingWorld.KEY);
+    assertTrue(world.transport.last().call.moves().fetches());
+    world.transport.last().answer(200, "");
+    world.serve("/chat/x", ServingWorld.WALLED_KEY);
+    BackendTransport.BackendCall walled = world.transport.last().call;
+    assertFalse(walled.moves().fetches());
+    assertEquals(walled.cacheScope(), "v1-team-2");
+    assertTrue(walled.moves().saves(), "saved under its own scope");
+    stores.changed(address, 1, Map.of("v1-team-2/a", 500), List.of());
+    world.serve("/chat/x", ServingWorld.WALLED_KEY);
+    assertTrue(world.transport.last().call.moves().fetches());
+  }
 }
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/ServingWorld.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/ServingWorld.java
@@ -27,12 +27,13 @@
 final class ServingWorld {
   static final String MODEL = "m";
   static final String KEY = "key-1";
+  static final String WALLED_KEY = "key-2";
   static final PartStore.StoreInfo STORE =
       new PartStore.StoreInfo("parts", "10.0.0.9:80", "dc-1", 100_000, 100_000);
 
   final ManualLoop loop = new ManualLoop();
   final FakeTransport transport = new FakeTransport();
-  final DecisionLog log = new StructuredDecisionLog();
+  final DecisionLog log = new BoundedDecisionLog(new StructuredDecisionLog(), loop);
   final ServerBook book = new ServerBook(loop, log, 1_400, 2_500);
   final PeerLoads peerLoads = new PeerLoads(loop, "10.0.1.1:70");
   final ServingState state = new ServingState(loop, book, peerLoads, log, 3);
@@ -78,6 +79,8 @@
     routes.add(route("/safe/", Repeat.WHOLE, plainService, 2));
     routes.add(route("/chat/", Repeat.RESUME, "engines", 2));
     routes.add(route("/once/", Repeat.NEVER, "engines", 1));
+    routes.add(route("/unsafe/", Repeat.NEVER, plainService, 3));
+    routes.add(route("/unresumable/", Repeat.NEVER, "engines", 3));
     return new ServingConfig(
         version,
         routes,
@@ -88,7 +91,7 @@
             new ServiceInfo("other", "/health", 100, null),
             "engines",
             new ServiceInfo("engines", "/health", 100, new EngineInfo(8, 10_000))),
-        Map.of(KEY, new Team("team-1", false, -1)),
+        Map.of(KEY, new Team("team-1", false, -1), WALLED_KEY, new Team("team-2", true, -1)),
         CallerLimits.DEFAULT,
         List.of(STORE));
   }
@@ -110,8 +113,12 @@
   }
 
   CallerRequest request(String path, @Nullable String key) {
+    return request(path, key, 5_000);
+  }
+
+  CallerRequest request(String path, @Nullable String key, long deadlineMs) {
     Prompt prompt =
-        path.startsWith("/chat/") || path.startsWith("/once/")
+        path.startsWith("/chat/") || path.startsWith("/once/") || path.startsWith("/unresumable/")
             ? new Prompt(MODEL, 10, List.of(new Prompt.Part("a", 500), new Prompt.Part("own", 100)))
             : null;
     return new CallerRequest(
@@ -121,7 +128,7 @@
         path,
         List.of(),
         new byte[0],
-        5_000,
+        deadlineMs,
         key,
         prompt,
         null,
