RequestRun is split: planning of a send and the account of a send have classes of their own

SendPlanner finds server, weights, scope and moves; Attempt keeps the account of one send and tells its request what came; RequestRun decides. No change of behaviour is meant; the tests of requests, lines and sockets are unchanged and pass.

--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/Attempt.java
@@ -0,0 +1,178 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.serving;
+
+import org.jspecify.annotations.Nullable;
+import org.landingtrack.internal.serving.BackendTransport.AnswerHead;
+import org.landingtrack.internal.serving.BackendTransport.BackendCall;
+import org.landingtrack.internal.serving.BackendTransport.Exchange;
+import org.landingtrack.internal.serving.BackendTransport.NotRunReason;
+import org.landingtrack.internal.serving.BackendTransport.StreamEvent;
+import org.landingtrack.internal.serving.SendPlanner.SendPlan;
+
+/**
+ * One send to one backend server. It keeps the account of what the server has under way, and tells
+ * its request of what comes back, at most until it is over or cancelled.
+ */
+final class Attempt implements BackendTransport.Listener {
+  private final CallerRequest request;
+  private final SendPlan plan;
+  private final PartStores parts;
+  private final Outcome outcome;
+  private final long missingTokens;
+  private @Nullable Exchange exchange;
+  private @Nullable AnswerHead head;
+  private boolean prefilling = true;
+  private boolean over;
+
+  /** Hears what becomes of a send. */
+  interface Outcome {
+    /** The server did not run the request and never will. The send is over. */
+    void notRun(Attempt sent, NotRunReason reason, String why);
+
+    /** The answer is a stream. */
+    void streamStarts(AnswerHead head);
+
+    void event(StreamEvent event);
+
+    /** The answer is whole. The send is over. */
+    void ended(Attempt sent, AnswerHead answer, byte[] body);
+
+    /** The server may have run the request or still run it. The send is over. */
+    void broken(Attempt sent, String why);
+  }
+
+  Attempt(CallerRequest request, SendPlan plan, PartStores parts, Outcome outcome) {
+    this.request = request;
+    this.plan = plan;
+    this.parts = parts;
+    this.outcome = outcome;
+    Prompt prompt = request.prompt();
+    this.missingTokens =
+        prompt == null || plan.cacheTokens() == 0
+            ? 0
+            : Math.max(0, prompt.tokens() - plan.keptTokens());
+  }
+
+  /** Sends the request. */
+  void start(BackendTransport transport, BackendCall call) {
+    plan.backend().sent(missingTokens);
+    exchange = transport.send(call, this);
+  }
+
+  Backend backend() {
+    return plan.backend();
+  }
+
+  String serverId() {
+    return plan.backend().entry().id();
+  }
+
+  /** Breaks the send off; nothing is heard of it any more. */
+  void cancel() {
+    if (close() && exchange != null) {
+      exchange.cancel();
+    }
+  }
+
+  /** Notes that the server answered well: it is sound, and keeps the prompt's parts. */
+  void succeeded() {
+    plan.backend().succeeded();
+    Prompt prompt = request.prompt();
+    if (prompt != null && plan.cacheTokens() > 0) {
+      plan.backend().keeps(plan.scope(), prompt, plan.cacheTokens());
+    }
+  }
+
+  /** Notes that the server has other weights than it was believed to have. */
+  void refusedWeights(ServingState state) {
+    Prompt prompt = request.prompt();
+    if (prompt != null) {
+      long newest = state.newestWeights(prompt.model()).orElse(0);
+      plan.backend().refusedWeights(prompt.model(), newest);
+    }
+  }
+
+  /** Closes the account of this send; returns false if it was closed before. */
+  private boolean close() {
+    if (over) {
+      return false;
+    }
+    over = true;
+    endPrefill();
+    plan.backend().finished();
+    return true;
+  }
+
+  private void endPrefill() {
+    if (!prefilling) {
+      return;
+    }
+    prefilling = false;
+    plan.backend().prefilled(missingTokens);
+    Prompt prompt = request.prompt();
+    if (prompt != null) {
+      parts.fetched(prompt, plan.moves());
+    }
+  }
+
+  @Override
+  public void notRun(NotRunReason reason, String why) {
+    if (close()) {
+      outcome.notRun(this, reason, why);
+    }
+  }
+
+  @Override
+  public void head(AnswerHead answer) {
+    if (over) {
+      return;
+    }
+    head = answer;
+    Prompt prompt = request.prompt();
+    if (prompt != null && answer.weightVersion().isPresent()) {
+      plan.backend().learnWeights(prompt.model(), answer.weightVersion().getAsLong());
+    }
+    if (answer.isStream()) {
+      plan.backend().succeeded();
+      outcome.streamStarts(answer);
+    }
+  }
+
+  @Override
+  public void event(StreamEvent event) {
+    if (over) {
+      return;
+    }
+    endPrefill();
+    outcome.event(event);
+  }
+
+  @Override
+  public void ended(byte[] body) {
+    AnswerHead answer = head;
+    if (answer != null && close()) {
+      outcome.ended(this, answer, body);
+    }
+  }
+
+  @Override
+  public void broken(String why) {
+    if (close()) {
+      outcome.broken(this, why);
+    }
+  }
+}
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/BackendTransport.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/BackendTransport.java
@@ -17,6 +17,7 @@
 
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /** Sends requests to backend servers. Called and calling back on the event loop only. */
@@ -75,7 +76,19 @@
   }
 
   /** An event of a stream; {@code id} is empty for one without. */
-  record StreamEvent(String id, byte[] bytes) {}
+  record StreamEvent(String id, byte[] bytes) {
+    /** Returns false if a caller that has {@code last} has this event: ids of events rise. */
+    boolean isAfter(@Nullable String last) {
+      if (last == null) {
+        return true;
+      }
+      try {
+        return Long.parseLong(id) > Long.parseLong(last);
+      } catch (NumberFormatException e) {
+        return !id.equals(last);
+      }
+    }
+  }
 
   /**
    * The head of an answer.
@@ -84,7 +97,15 @@
    * @param weightVersion the version of the weights that answer, or empty
    */
   record AnswerHead(
-      int status, List<Header> headers, boolean isStream, OptionalLong weightVersion) {}
+      int status, List<Header> headers, boolean isStream, OptionalLong weightVersion) {
+
+    private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
+
+    /** Returns true if callers read this status as "did not run and never will". */
+    boolean promisesNotRun() {
+      return PROMISES.contains(status);
+    }
+  }
 
   /** What becomes of a call. One of {@code notRun}, {@code ended} and {@code broken} is last. */
   interface Listener {
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/CallerRequest.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/CallerRequest.java
@@ -48,4 +48,9 @@
     int end = target.indexOf('?');
     return end < 0 ? target : target.substring(0, end);
   }
+
+  /** Returns what decides the part of a split: requests of one session go to the same one. */
+  String splitKey() {
+    return prompt == null ? id : prompt.sessionKey();
+  }
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
@@ -15,9 +15,7 @@
  */
 package org.landingtrack.internal.serving;
 
-import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.List;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
@@ -25,12 +23,11 @@
 import org.landingtrack.internal.base.Hashes;
 import org.landingtrack.internal.serving.BackendTransport.AnswerHead;
 import org.landingtrack.internal.serving.BackendTransport.BackendCall;
-import org.landingtrack.internal.serving.BackendTransport.Exchange;
 import org.landingtrack.internal.serving.BackendTransport.NotRunReason;
 import org.landingtrack.internal.serving.BackendTransport.StreamEvent;
 import org.landingtrack.internal.serving.DecisionLog.RouteFacts;
 import org.landingtrack.internal.serving.Route.Repeat;
-import org.landingtrack.internal.serving.ServerChooser.Choice;
+import org.landingtrack.internal.serving.SendPlanner.SendPlan;
 
 /**
  * One request of a caller, from its route to the end of its answer. It is sent to one backend
@@ -48,10 +45,6 @@
   private static final long RETRY_AFTER_MS = 250;
 
   private static final int FIRST_SERVER_ERROR = 500;
-  private static final int TOO_MANY = 429;
-  private static final int TIMED_OUT = 408;
-  private static final int MISDIRECTED = 421;
-  private static final int UNAVAILABLE = 503;
 
   private final Serving serving;
   private final CallerRequest request;
@@ -64,6 +57,8 @@
   private String service = "";
   private long endsAtMs;
   private EventLoop.@Nullable Timer deadline;
+  private final Answers answers = new Answers();
+  private @Nullable SendPlanner planner;
   private @Nullable Attempt attempt;
   private int sends;
   private int connectFailures;
@@ -124,7 +119,8 @@
         return;
       }
     }
-    service = found.service(Hashes.placement(splitKey()));
+    service = found.service(Hashes.placement(request.splitKey()));
+    planner = new SendPlanner(serving, request, found, team, service);
     serving.state().retries(service).request(serving.options().retryPercent());
     long mayTakeMs = found.timeoutMs();
     if (request.deadlineMs() > 0) {
@@ -135,151 +131,53 @@
     send();
   }
 
-  /** Requests of one session go to the same part of a split. */
-  private String splitKey() {
-    Prompt prompt = request.prompt();
-    return prompt == null ? request.id() : prompt.sessionKey();
-  }
-
   private void send() {
-    Route current = route;
-    ServingConfig config = serving.state().config();
-    if (done || current == null || config == null) {
+    SendPlanner current = planner;
+    if (done || current == null) {
       return;
     }
-    ServiceInfo info = config.service(service);
-    List<Backend> usable = serving.state().servers().usable(service, tried);
-    OptionalLong oldest = oldestWeights();
-    List<Backend> recent = recentEnough(usable, oldest);
-    boolean gamble = recent.isEmpty() && !usable.isEmpty();
-    Choice choice =
-        info == null ? null : ServerChooser.choose(gamble ? usable : recent, query(info));
-    if (info == null || choice == null) {
+    SendPlan plan = current.plan(tried);
+    if (plan == null) {
       failWithout("no usable server of " + service);
       return;
     }
-    Backend backend = choice.backend();
-    long leftMs = endsAtMs - loop.millis();
+    Backend backend = plan.backend();
     sends++;
     tried.add(backend.entry().id());
-    long weights = weightsOf(backend, gamble);
-    String scope = scope(weights);
-    PartMoves moves = moves(info, scope, weights);
-    Prompt prompt = request.prompt();
-    serving
-        .log()
-        .routed(
-            this,
-            new RouteFacts(
-                backend.entry().id(),
-                ageMs(),
-                sends,
-                usable.size(),
-                choice.costMs(),
-                backend.pendingTokens(),
-                prompt == null ? 0 : prompt.tokens(),
-                choice.keptTokens(),
-                moves,
-                weights,
-                config.version()));
-    Attempt next = new Attempt(backend, choice.keptTokens(), info, scope, moves);
+    serving.log().routed(this, facts(plan));
+    Attempt next = new Attempt(request, plan, serving.state().parts(), answers);
     attempt = next;
-    next.exchange =
-        serving
-            .transport()
-            .send(
-                new BackendCall(
-                    request,
-                    backend.entry().id(),
-                    backend.entry().address(),
-                    info.connectionLimit(),
-                    Math.max(1, leftMs),
-                    team == null ? null : team.name(),
-                    priority(current, info),
-                    scope,
-                    moves,
-                    weights > 0 ? OptionalLong.of(weights) : OptionalLong.empty(),
-                    lastEventId),
-                next);
-  }
-
-  private ServerChooser.Query query(ServiceInfo info) {
-    Prompt prompt = request.prompt();
-    return new ServerChooser.Query(
-        service,
-        serving.options().dataCentre(),
-        info.engine(),
-        info.engine() == null ? null : prompt,
-        this::scope,
-        serving.state().parts(),
-        serving.state().peerLoads(),
-        newestWeights(),
-        serving.state()::rolloutRank,
-        Hashes.placement(splitKey()),
-        loop.millis());
-  }
-
-  private int priority(Route current, ServiceInfo info) {
-    if (info.engine() == null) {
-      return -1;
-    }
-    return team != null && team.priority() >= 0 ? team.priority() : current.priority();
-  }
-
-  /**
-   * Kept state is found only under the scope in which it was made: a version of the weights, and
-   * the team if it is isolated.
-   */
-  private String scope(long weights) {
-    String version = "v" + weights;
-    return team != null && team.isolated() ? version + "-" + team.name() : version;
-  }
-
-  private long weightsOf(Backend backend, boolean gamble) {
-    Prompt prompt = request.prompt();
-    if (prompt == null) {
-      return 0;
-    }
-    return gamble ? newestWeights().orElse(0) : backend.weights(prompt.model());
-  }
-
-  /** Parts are moved only under a version that the server must have. */
-  private PartMoves moves(ServiceInfo info, String scope, long weights) {
-    Prompt prompt = request.prompt();
-    if (prompt == null || info.engine() == null || weights == 0) {
-      return PartMoves.NONE;
-    }
-    return serving.state().parts().plan(scope, prompt);
-  }
-
-  private OptionalLong newestWeights() {
-    Prompt prompt = request.prompt();
-    return prompt == null ? OptionalLong.empty() : serving.state().newestWeights(prompt.model());
+    next.start(
+        serving.transport(),
+        new BackendCall(
+            request,
+            backend.entry().id(),
+            backend.entry().address(),
+            plan.info().connectionLimit(),
+            Math.max(1, endsAtMs - loop.millis()),
+            team == null ? null : team.name(),
+            plan.priority(),
+            plan.scope(),
+            plan.moves(),
+            plan.weights() > 0 ? OptionalLong.of(plan.weights()) : OptionalLong.empty(),
+            lastEventId));
   }
 
-  private OptionalLong oldestWeights() {
+  private RouteFacts facts(SendPlan plan) {
+    ServingConfig config = serving.state().config();
     Prompt prompt = request.prompt();
-    return prompt == null
-        ? OptionalLong.empty()
-        : serving.state().oldestUsableWeights(prompt.model(), serving.options().oldWeightsMs());
-  }
-
-  /**
-   * Returns the servers whose weights are not too old. What is known of them may lag; where none is
-   * left, any may be asked for the newest version, which it refuses if it has another.
-   */
-  private List<Backend> recentEnough(List<Backend> usable, OptionalLong oldest) {
-    Prompt prompt = request.prompt();
-    if (prompt == null || oldest.isEmpty()) {
-      return usable;
-    }
-    List<Backend> recent = new ArrayList<>();
-    for (Backend backend : usable) {
-      if (backend.weights(prompt.model()) >= oldest.getAsLong()) {
-        recent.add(backend);
-      }
-    }
-    return recent;
+    return new RouteFacts(
+        plan.backend().entry().id(),
+        ageMs(),
+        sends,
+        plan.candidates(),
+        plan.costMs(),
+        plan.backend().pendingTokens(),
+        prompt == null ? 0 : prompt.tokens(),
+        plan.keptTokens(),
+        plan.moves(),
+        plan.weights(),
+        config == null ? 0 : config.version());
   }
 
   private boolean maySendAgain() {
@@ -316,7 +214,7 @@
       return;
     }
     if (current != null) {
-      current.cancel();
+      cancel(current);
       inDoubt = true;
     }
     if (streamStarted) {
@@ -358,10 +256,15 @@
   private void stopAttempt() {
     Attempt current = attempt;
     if (current != null) {
-      current.cancel();
+      cancel(current);
     }
   }
 
+  private void cancel(Attempt current) {
+    attempt = null;
+    current.cancel();
+  }
+
   private void refuse(ErrorKind kind, String why, long retryAfterMs) {
     finish();
     serving.log().refused(this, kind, why, retryAfterMs);
@@ -384,87 +287,28 @@
   }
 
   private String serverName() {
-    return attempt == null ? "" : attempt.backend.entry().id();
+    return attempt == null ? "" : attempt.serverId();
   }
 
-  /** One send to one backend server, and what comes back. */
-  private final class Attempt implements BackendTransport.Listener {
-    private final Backend backend;
-    private final long missingTokens;
-    private final int cacheTokens;
-    private final String scope;
-    private final PartMoves moves;
-    private @Nullable Exchange exchange;
-    private @Nullable AnswerHead head;
-    private boolean prefilling = true;
-    private boolean over;
-
-    Attempt(Backend backend, int keptTokens, ServiceInfo info, String scope, PartMoves moves) {
-      this.backend = backend;
-      this.moves = moves;
-      this.scope = scope;
-      this.cacheTokens = info.engine() == null ? 0 : info.engine().cacheTokens();
-      Prompt prompt = request.prompt();
-      this.missingTokens =
-          prompt == null || cacheTokens == 0 ? 0 : Math.max(0, prompt.tokens() - keptTokens);
-      backend.sent(missingTokens);
-    }
-
-    /** Closes the account of this send; returns false if it was closed before. */
-    private boolean close() {
-      if (over) {
-        return false;
-      }
-      over = true;
-      endPrefill();
-      backend.finished();
-      if (attempt == this) {
-        attempt = null;
-      }
-      return true;
-    }
-
-    private void endPrefill() {
-      if (prefilling) {
-        prefilling = false;
-        backend.prefilled(missingTokens);
-        Prompt prompt = request.prompt();
-        if (prompt != null) {
-          serving.state().parts().fetched(prompt, moves);
-        }
-      }
-    }
-
-    void cancel() {
-      if (close() && exchange != null) {
-        exchange.cancel();
-      }
-    }
-
+  /** What comes back of the send under way, decided for the request. */
+  private final class Answers implements Attempt.Outcome {
     @Override
-    public void notRun(NotRunReason reason, String why) {
-      if (!close() || done) {
-        return;
-      }
-      serving.log().tryFailed(RequestRun.this, backend.entry().id(), "not-run " + reason, why);
+    public void notRun(Attempt sent, NotRunReason reason, String why) {
+      attempt = null;
+      serving.log().tryFailed(RequestRun.this, sent.serverId(), "not-run " + reason, why);
       switch (reason) {
         case NO_CONNECTION -> {
           sends--;
           connectFailures++;
-          noteFailure(why);
+          noteFailure(sent, why);
           if (connectFailures <= MAX_CONNECT_FAILURES) {
             send();
             return;
           }
         }
-        case OTHER_SERVER -> noteFailure(why);
-        case FULL -> backend.refused(loop.millis());
-        case OTHER_VERSION -> {
-          Prompt prompt = request.prompt();
-          if (prompt != null) {
-            backend.refusedWeights(prompt.model(), newestWeights().orElse(0));
-          }
-        }
+        case OTHER_SERVER -> noteFailure(sent, why);
+        case FULL -> sent.backend().refused(loop.millis());
+        case OTHER_VERSION -> sent.refusedWeights(serving.state());
         case REFUSED -> {}
       }
       if (!trySendAgain()) {
@@ -472,40 +316,25 @@
       }
     }
 
-    private void noteFailure(String why) {
-      if (backend.failed(loop.millis())) {
-        serving.log().ejected(backend.entry().id(), why);
+    private void noteFailure(Attempt sent, String why) {
+      if (sent.backend().failed(loop.millis())) {
+        serving.log().ejected(sent.serverId(), why);
       }
     }
 
     @Override
-    public void head(AnswerHead answer) {
-      if (over) {
-        return;
-      }
-      head = answer;
-      Prompt prompt = request.prompt();
-      if (prompt != null && answer.weightVersion().isPresent()) {
-        backend.learnWeights(prompt.model(), answer.weightVersion().getAsLong());
-      }
-      if (!answer.isStream()) {
-        return;
-      }
-      backend.succeeded();
+    public void streamStarts(AnswerHead head) {
       if (!streamStarted) {
         streamStarted = true;
-        sink.startStream(answer.status(), answer.headers());
+        sink.startStream(head.status(), head.headers());
       }
     }
 
     @Override
     public void event(StreamEvent event) {
-      if (over) {
-        return;
-      }
       noteFirst();
       if (!event.id().isEmpty()) {
-        if (!isAfter(event.id(), lastEventId)) {
+        if (!event.isAfter(lastEventId)) {
           return;
         }
         lastEventId = event.id();
@@ -514,43 +343,37 @@
     }
 
     private void noteFirst() {
-      endPrefill();
       if (firstMs < 0) {
-        firstMs = loop.millis() - request.receivedAtMs();
+        firstMs = ageMs();
       }
     }
 
     @Override
-    public void ended(byte[] body) {
-      AnswerHead answer = head;
-      if (over || answer == null) {
-        return;
-      }
+    public void ended(Attempt sent, AnswerHead answer, byte[] body) {
+      attempt = null;
       noteFirst();
-      if (!close()) {
-        return;
-      }
-      String server = backend.entry().id();
       if (answer.status() >= FIRST_SERVER_ERROR) {
-        serving.log().tryFailed(RequestRun.this, server, "status " + answer.status(), "");
+        serving.log().tryFailed(RequestRun.this, sent.serverId(), "status " + answer.status(), "");
         inDoubt = true;
         if (trySendAgain()) {
           return;
         }
       } else {
-        backend.succeeded();
-        noteParts();
+        sent.succeeded();
       }
       if (streamStarted && !answer.isStream()) {
         cut("a resumed stream was answered with status " + answer.status());
         return;
       }
       finish();
-      long totalMs = ageMs();
-      serving.log().answered(RequestRun.this, server, answer.status(), firstMs, totalMs);
+      serving.log().answered(RequestRun.this, sent.serverId(), answer.status(), firstMs, ageMs());
+      pass(answer, body);
+    }
+
+    private void pass(AnswerHead answer, byte[] body) {
       if (answer.isStream()) {
         sink.endStream();
-      } else if (promisesNotRun(answer.status())) {
+      } else if (answer.promisesNotRun()) {
         // The server ran it, so this status would be untrue from us.
         sink.refuse(ErrorKind.FAILED_IN_RUN, "the server answered " + answer.status(), 0);
       } else {
@@ -558,21 +381,12 @@
       }
     }
 
-    private void noteParts() {
-      Prompt prompt = request.prompt();
-      if (prompt != null && cacheTokens > 0) {
-        backend.keeps(scope, prompt, cacheTokens);
-      }
-    }
-
     @Override
-    public void broken(String why) {
-      if (!close() || done) {
-        return;
-      }
+    public void broken(Attempt sent, String why) {
+      attempt = null;
       inDoubt = true;
-      noteFailure(why);
-      serving.log().tryFailed(RequestRun.this, backend.entry().id(), "in doubt", why);
+      noteFailure(sent, why);
+      serving.log().tryFailed(RequestRun.this, sent.serverId(), "in doubt", why);
       boolean mayGoOn = !streamStarted || (route != null && route.repeat() == Repeat.RESUME);
       if (mayGoOn && trySendAgain()) {
         return;
@@ -584,23 +398,4 @@
       }
     }
   }
-
-  private static boolean promisesNotRun(int status) {
-    return status == UNAVAILABLE
-        || status == TOO_MANY
-        || status == TIMED_OUT
-        || status == MISDIRECTED;
-  }
-
-  /** Ids of events rise; a resumed stream may repeat what the caller has. */
-  static boolean isAfter(String id, @Nullable String last) {
-    if (last == null) {
-      return true;
-    }
-    try {
-      return Long.parseLong(id) > Long.parseLong(last);
-    } catch (NumberFormatException e) {
-      return !id.equals(last);
-    }
-  }
 }
