News of loads and of part stores go by hubs where there are more than a dozen VMs

Now each VM has a hub in its data centre by rendezvous, hubs tell each other the sums of their groups, and the first hub of each data centre asks the stores for all. Times of answers go by the servers' clock, so a message that was late on its way prolongs no belief. Up to a dozen VMs all is as it was.

--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/Fleet.java
@@ -0,0 +1,247 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.loads;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+import org.landingtrack.internal.base.Hashes;
+import org.landingtrack.internal.loads.LoadNews.Sighting;
+import org.landingtrack.internal.loads.LoadNews.Vm;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The VMs that this one knows, and the hubs among them. A few VMs tell each other all; in a larger
+ * fleet each VM has a hub in its data centre, which is found by rendezvous and passed over for a
+ * while when it is silent. Nothing is agreed: VMs with other views ask other hubs, and whoever is
+ * asked is one. Not thread-safe.
+ */
+final class Fleet {
+  /** So many VMs tell each other all; as many may ask a store of parts at once. */
+  static final int MESH_VMS = 12;
+
+  /** VMs that one hub serves; 240 messages in and out a second. */
+  static final int GROUP_VMS = 24;
+
+  /** A hub answers each round; this is five of them. */
+  static final long SILENT_MS = 500;
+
+  /** A silent hub is passed over for so long, or until it speaks. */
+  static final long PASS_OVER_MS = 10_000;
+
+  /** A VM that nobody heard for so long is forgotten. */
+  private static final long FORGET_MS = 60_000;
+
+  /** Only VMs that somebody heard within this time are named to others. */
+  private static final long NAME_MS = 20_000;
+
+  private static final Logger log = LoggerFactory.getLogger("loads");
+
+  private final Vm self;
+  private final Map<String, Known> known = new HashMap<>();
+  private List<Group> groups = List.of();
+
+  private static final class Known {
+    private final Vm vm;
+    private final long hash;
+    private long heardAtMs = Long.MIN_VALUE / 2;
+    private long seenAtMs;
+    private long expectedSinceMs = -1;
+    private long passOverUntilMs = Long.MIN_VALUE / 2;
+
+    Known(Vm vm) {
+      this.vm = vm;
+      this.hash = Hashes.placement(vm.address());
+    }
+  }
+
+  /** Some VMs of a data centre and their hub. */
+  private record Group(String dataCentre, int index, String hub) {}
+
+  Fleet(Vm self) {
+    this.self = self;
+    known.put(self.address(), new Known(self));
+  }
+
+  /** Notes that a VM spoke. */
+  void heard(Vm vm, long nowMs) {
+    Known entry = entry(vm);
+    entry.heardAtMs = nowMs;
+    entry.seenAtMs = nowMs;
+    entry.passOverUntilMs = nowMs;
+  }
+
+  /** Notes that another VM heard of a VM at a time. */
+  void seen(Vm vm, long atMs) {
+    Known entry = entry(vm);
+    entry.seenAtMs = Math.max(entry.seenAtMs, atMs);
+  }
+
+  /** Notes that there may be a VM at an address; its data centre is not known yet. */
+  void introduce(String address, long nowMs) {
+    if (!known.containsKey(address)) {
+      entry(new Vm(address, self.dataCentre())).seenAtMs = nowMs - NAME_MS - 1;
+    }
+  }
+
+  /** A VM may have been known by its address alone; what is said of it later counts. */
+  private Known entry(Vm vm) {
+    Known entry = known.get(vm.address());
+    if (entry == null || !entry.vm.equals(vm)) {
+      entry = new Known(vm);
+      known.put(vm.address(), entry);
+    }
+    return entry;
+  }
+
+  /** Forgets VMs that are gone, and finds the hubs anew. */
+  void refresh(long nowMs) {
+    known.values().removeIf(entry -> !entry.vm.equals(self) && nowMs - entry.seenAtMs > FORGET_MS);
+    groups = isMesh() ? List.of() : findGroups(nowMs);
+  }
+
+  boolean isMesh() {
+    return known.size() <= MESH_VMS;
+  }
+
+  /** Returns the other VMs that spoke within a time. */
+  List<Vm> heardWithin(long ms, long nowMs) {
+    List<Vm> heard = new ArrayList<>();
+    for (Known entry : known.values()) {
+      if (nowMs - entry.heardAtMs <= ms && !entry.vm.equals(self)) {
+        heard.add(entry.vm);
+      }
+    }
+    return heard;
+  }
+
+  /** Returns the other VMs of which nothing was heard for a time. */
+  List<Vm> silentFor(long ms, long nowMs) {
+    List<Vm> silent = new ArrayList<>();
+    for (Known entry : known.values()) {
+      if (nowMs - entry.heardAtMs > ms && !entry.vm.equals(self)) {
+        silent.add(entry.vm);
+      }
+    }
+    return silent;
+  }
+
+  /** Returns the other VMs that somebody heard lately. */
+  List<Sighting> sightings(long nowMs) {
+    List<Sighting> sightings = new ArrayList<>();
+    for (Known entry : known.values()) {
+      long agoMs = nowMs - entry.seenAtMs;
+      if (agoMs <= NAME_MS && !entry.vm.equals(self)) {
+        sightings.add(new Sighting(entry.vm, agoMs));
+      }
+    }
+    return sightings;
+  }
+
+  private List<Group> findGroups(long nowMs) {
+    Map<String, List<Known>> byDataCentre = new TreeMap<>();
+    for (Known entry : known.values()) {
+      byDataCentre.computeIfAbsent(entry.vm.dataCentre(), name -> new ArrayList<>()).add(entry);
+    }
+    List<Group> found = new ArrayList<>();
+    byDataCentre.forEach(
+        (dataCentre, members) -> {
+          int count = (members.size() + GROUP_VMS - 1) / GROUP_VMS;
+          for (int i = 0; i < count; i++) {
+            String hub = hub(dataCentre, i, members, nowMs);
+            if (hub != null) {
+              found.add(new Group(dataCentre, i, hub));
+            }
+          }
+        });
+    return found;
+  }
+
+  private @Nullable String hub(String dataCentre, int index, List<Known> members, long nowMs) {
+    long key = Hashes.placement(dataCentre, Integer.toString(index));
+    Known best = null;
+    for (Known entry : members) {
+      if (nowMs < entry.passOverUntilMs && !entry.vm.equals(self)) {
+        continue;
+      }
+      if (best == null || Hashes.weight(key, entry.hash) > Hashes.weight(key, best.hash)) {
+        best = entry;
+      }
+    }
+    return best == null ? null : best.vm.address();
+  }
+
+  /** Returns the hub that this VM belongs to; itself if it is one. */
+  String ownHub() {
+    List<Group> own = new ArrayList<>();
+    for (Group group : groups) {
+      if (group.hub.equals(self.address())) {
+        return group.hub;
+      }
+      if (group.dataCentre.equals(self.dataCentre())) {
+        own.add(group);
+      }
+    }
+    if (own.isEmpty()) {
+      return self.address();
+    }
+    int index = Math.floorMod(Hashes.placement(self.address(), "group"), own.size());
+    return own.get(index).hub;
+  }
+
+  /** Returns the hubs of all groups. */
+  Set<String> hubs() {
+    Set<String> hubs = new LinkedHashSet<>();
+    for (Group group : groups) {
+      hubs.add(group.hub);
+    }
+    return hubs;
+  }
+
+  /** Returns true if this VM is the hub of the first group of a data centre. */
+  boolean isFirstHub() {
+    for (Group group : groups) {
+      if (group.index == 0 && group.hub.equals(self.address())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Notes the hubs that should speak in this round, and passes over those that do not. */
+  void expect(Set<String> hubs, long nowMs) {
+    for (Known entry : known.values()) {
+      if (!hubs.contains(entry.vm.address())) {
+        entry.expectedSinceMs = -1;
+        continue;
+      }
+      if (entry.expectedSinceMs < 0) {
+        entry.expectedSinceMs = nowMs;
+      }
+      if (nowMs - Math.max(entry.expectedSinceMs, entry.heardAtMs) > SILENT_MS) {
+        entry.passOverUntilMs = nowMs + PASS_OVER_MS;
+        entry.expectedSinceMs = -1;
+        log.atInfo().addKeyValue("vm", entry.vm.address()).log("hub silent");
+      }
+    }
+  }
+}
--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/LoadExchange.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/LoadExchange.java
@@ -29,43 +29,60 @@
 import org.landingtrack.internal.base.Duty;
 import org.landingtrack.internal.base.MessagePack;
 import org.landingtrack.internal.loads.LoadNews.Load;
+import org.landingtrack.internal.loads.LoadNews.Sighting;
+import org.landingtrack.internal.loads.PeerLoads.Mail;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Sends and hears the news of loads over UDP. */
+/** Sends and hears the news of loads and of stores over UDP. */
 public final class LoadExchange implements AutoCloseable {
   private static final Logger log = LoggerFactory.getLogger("loads");
 
-  /** Fits an Ethernet frame's worth of loads twice over; larger news are cut. */
-  private static final int MAX_BYTES = 3_000;
+  /** The largest news of a hub: all loads and the changes of a dozen stores. */
+  private static final int MAX_BYTES = 16_000;
 
   private static final int MAX_LOADS = 90;
-  private static final int MAX_PEERS = 12;
   private static final ObjectReader READER = MessagePack.MAPPER.readerFor(LoadNews.class);
   private static final ObjectWriter WRITER = MessagePack.MAPPER.writerFor(LoadNews.class);
 
-  private final String self;
   private final PeerLoads peers;
   private final Supplier<List<Load>> own;
+  private final StoreNewsBoard stores;
   private final Executor loop;
   private final DatagramSocket socket;
   private long sequence;
   private volatile boolean closed;
 
+  /** Where news of stores come from and go to; used on the loop. */
+  public interface StoreNewsBoard {
+    /**
+     * Returns what is new since the last call.
+     *
+     * @param kind the kind of the message: other hubs are told only what this VM asked itself
+     */
+    List<StoreNews> news(LoadNews.Kind kind);
+
+    /** Begins a round: what is new from now on is told in the next one. */
+    void nextRound();
+
+    /** Takes news of another VM. */
+    void heard(StoreNews news);
+  }
+
   /**
    * Binds the socket.
    *
-   * @param self the address to hear at
    * @param own what this VM has under way; asked on the loop
-   * @param loop runs whatever touches {@code peers}
+   * @param loop runs whatever touches {@code peers} and {@code stores}
    */
-  public LoadExchange(String self, PeerLoads peers, Supplier<List<Load>> own, Executor loop)
+  public LoadExchange(
+      PeerLoads peers, Supplier<List<Load>> own, StoreNewsBoard stores, Executor loop)
       throws IOException {
-    this.self = self;
     this.peers = peers;
     this.own = own;
+    this.stores = stores;
     this.loop = loop;
-    InetSocketAddress address = Addresses.parse(self);
+    InetSocketAddress address = Addresses.parse(peers.self().address());
     this.socket = new DatagramSocket(address);
   }
 
@@ -81,7 +98,7 @@
       try {
         socket.receive(packet);
         LoadNews news = READER.readValue(Arrays.copyOf(buffer, packet.getLength()));
-        loop.execute(() -> peers.heard(news));
+        loop.execute(() -> take(news));
       } catch (IOException e) {
         if (!closed) {
           log.debug("A datagram cannot be read: {}.", e.toString());
@@ -90,27 +107,41 @@
     }
   }
 
+  private void take(LoadNews news) {
+    peers.heard(news);
+    news.stores().forEach(stores::heard);
+  }
+
   /** Sends one round of news. Runs on the loop. */
   public void tell() {
-    List<String> receivers = peers.nextRound();
-    if (receivers.isEmpty()) {
+    List<Mail> mails = peers.nextRound();
+    stores.nextRound();
+    if (mails.isEmpty()) {
       return;
     }
     List<Load> loads = own.get();
-    List<String> known = peers.lately();
-    LoadNews news =
-        new LoadNews(
-            self,
-            ++sequence,
-            known.subList(0, Math.min(MAX_PEERS, known.size())),
-            loads.subList(0, Math.min(MAX_LOADS, loads.size())));
+    List<Sighting> seen = peers.sightings();
+    sequence++;
+    for (Mail mail : mails) {
+      List<Load> counted = peers.loadsFor(mail, loads);
+      send(
+          mail.receiver(),
+          new LoadNews(
+              peers.self(),
+              sequence,
+              mail.kind(),
+              seen,
+              counted.subList(0, Math.min(MAX_LOADS, counted.size())),
+              stores.news(mail.kind())));
+    }
+  }
+
+  private void send(String receiver, LoadNews news) {
     try {
       byte[] bytes = WRITER.writeValueAsBytes(news);
-      for (String receiver : receivers) {
-        socket.send(new DatagramPacket(bytes, bytes.length, Addresses.parse(receiver)));
-      }
+      socket.send(new DatagramPacket(bytes, bytes.length, Addresses.parse(receiver)));
     } catch (IOException e) {
-      log.debug("News of loads were not sent: {}.", e.toString());
+      log.debug("News for {} were not sent: {}.", receiver, e.toString());
     }
   }
 
--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/LoadNews.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/LoadNews.java
@@ -19,26 +19,66 @@
 import java.util.List;
 
 /**
- * What one VM tells others, as MessagePack without names.
+ * What one VM tells another by one datagram, as MessagePack without names.
  *
- * @param sender the address at which it hears news
+ * @param sender the VM that tells
  * @param sequence rises with each of the sender's messages
- * @param peers addresses of VMs that it heard of lately
- * @param loads what it has under way, for servers where that is anything
+ * @param kind whose requests {@code loads} counts
+ * @param seen some VMs that were heard of lately
+ * @param loads requests under way, for servers where there are any
+ * @param stores news of stores of prompt parts
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-public record LoadNews(String sender, long sequence, List<String> peers, List<Load> loads) {
+public record LoadNews(
+    Vm sender,
+    long sequence,
+    Kind kind,
+    List<Sighting> seen,
+    List<Load> loads,
+    List<StoreNews> stores) {
   public LoadNews {
-    peers = List.copyOf(peers);
+    seen = List.copyOf(seen);
     loads = List.copyOf(loads);
+    stores = List.copyOf(stores);
   }
 
+  /** Whose requests a message counts. */
+  public enum Kind {
+    /** The sender's. */
+    OWN,
+    /** Those of the sender and of the VMs that tell it theirs; one hub tells another. */
+    GROUP,
+    /** Those of all VMs but the receiver; a hub tells a VM that told it its own. */
+    REST
+  }
+
+  /**
+   * A VM.
+   *
+   * @param address where it hears news
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  public record Vm(String address, String dataCentre) {}
+
   /**
-   * The requests of one VM at one server.
+   * A VM that spoke to the sender or to another one.
+   *
+   * @param agoMs how long ago it spoke
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  public record Sighting(Vm vm, long agoMs) {}
+
+  /**
+   * Requests at one server.
    *
    * @param server hash of the id of the server's start
    * @param pendingTokens prompt tokens that the server has yet to read
    */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-  public record Load(long server, long pendingTokens, int running) {}
+  public record Load(long server, long pendingTokens, int running) {
+    /** Returns the sum of two loads of one server. */
+    Load plus(Load other) {
+      return new Load(server, pendingTokens + other.pendingTokens, running + other.running);
+    }
+  }
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/PeerLoads.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/PeerLoads.java
@@ -16,18 +16,28 @@
 package org.landingtrack.internal.loads;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.landingtrack.internal.base.Ticker;
+import org.landingtrack.internal.loads.LoadNews.Kind;
 import org.landingtrack.internal.loads.LoadNews.Load;
+import org.landingtrack.internal.loads.LoadNews.Sighting;
+import org.landingtrack.internal.loads.LoadNews.Vm;
 
-/** What other VMs have under way at backend servers, and which VMs there are. Not thread-safe. */
+/**
+ * What other VMs have under way at backend servers, and who tells whom. Up to a dozen VMs tell each
+ * other; in a larger fleet each tells its hub, hubs tell each other the sums of their groups, and a
+ * hub tells each of its VMs what all the others have. Not thread-safe.
+ */
 public final class PeerLoads {
   /** Between two rounds of news. */
   public static final long ROUND_MS = 100;
 
-  /** VMs that hear the news of a round; more take turns. */
+  /** VMs that hear the news of a round while nobody is a hub; more take turns. */
   static final int PEERS_A_ROUND = 8;
 
   /** News are used for so many times the time between two of a sender. */
@@ -36,121 +46,216 @@
   /** A VM that was not heard of for so long gets news only now and then. */
   private static final long QUIET_MS = 2_000;
 
-  /** After so long it is forgotten; a process that starts again is back long before. */
-  private static final long FORGET_MS = 30_000;
+  /** A hub serves a VM for so long after its last word. */
+  private static final long SERVED_MS = 1_000;
 
   private static final int QUIET_EVERY_ROUNDS = 10;
 
+  /** VMs named in one message. */
+  private static final int NAMED_VMS = 12;
+
   private final Ticker ticker;
-  private final String self;
+  private final Vm self;
+  private final Fleet fleet;
   private final Map<String, Peer> peers = new HashMap<>();
-  private final Map<Long, Load> totals = new HashMap<>();
+  private Map<Long, Load> totals = new HashMap<>();
   private long round;
+  private boolean isHub;
 
   private static final class Peer {
+    private final Vm vm;
     private long sequence = -1;
     private long heardAtMs;
+    private Kind kind = Kind.OWN;
     private List<Load> loads = List.of();
+
+    Peer(Vm vm) {
+      this.vm = vm;
+    }
   }
 
-  /**
-   * Creates an empty view.
-   *
-   * @param self the address at which this VM hears news
-   */
-  public PeerLoads(Ticker ticker, String self) {
+  /** A message that is due: to whom, and whose requests it counts. */
+  public record Mail(String receiver, Kind kind) {}
+
+  /** Creates an empty view of a VM. */
+  public PeerLoads(Ticker ticker, Vm self) {
     this.ticker = ticker;
     this.self = self;
+    this.fleet = new Fleet(self);
   }
 
-  /** Adds VMs that may exist, for example from the settings. */
+  Vm self() {
+    return self;
+  }
+
+  /** Adds VMs that may exist, for example from the settings; their data centre is not known. */
   public void introduce(List<String> addresses) {
-    long now = ticker.millis();
     for (String address : addresses) {
-      if (!address.equals(self)) {
-        peers.computeIfAbsent(address, name -> heardLongAgo(now));
+      if (!address.equals(self.address())) {
+        fleet.introduce(address, ticker.millis());
       }
     }
   }
 
-  private static Peer heardLongAgo(long now) {
-    Peer peer = new Peer();
-    peer.heardAtMs = now - QUIET_MS;
-    return peer;
-  }
-
   /** Takes news; older ones than known of the same sender change nothing. */
   public void heard(LoadNews news) {
-    if (news.sender().equals(self)) {
+    String sender = news.sender().address();
+    if (sender.equals(self.address())) {
       return;
     }
-    Peer peer = peers.computeIfAbsent(news.sender(), name -> new Peer());
     long now = ticker.millis();
+    Peer peer = peers.computeIfAbsent(sender, name -> new Peer(news.sender()));
     boolean restarted = now - peer.heardAtMs > QUIET_MS;
     if (news.sequence() <= peer.sequence && !restarted) {
       return;
     }
     peer.sequence = news.sequence();
     peer.heardAtMs = now;
+    peer.kind = news.kind();
     peer.loads = news.loads();
-    introduce(news.peers());
-    addUp();
+    fleet.heard(news.sender(), now);
+    for (Sighting sighting : news.seen()) {
+      if (!sighting.vm().equals(self)) {
+        fleet.seen(sighting.vm(), now - sighting.agoMs());
+      }
+    }
+    addUp(now);
   }
 
-  /** Starts a round: forgets what is old and returns the VMs that get news in it. */
-  public List<String> nextRound() {
+  /** Starts a round: forgets what is old and returns the messages that are due in it. */
+  public List<Mail> nextRound() {
     long now = ticker.millis();
     round++;
-    peers.values().removeIf(peer -> now - peer.heardAtMs > FORGET_MS);
-    addUp();
-    List<String> active = new ArrayList<>();
-    List<String> chosen = new ArrayList<>();
-    for (Map.Entry<String, Peer> entry : peers.entrySet()) {
-      if (now - entry.getValue().heardAtMs < QUIET_MS) {
-        active.add(entry.getKey());
-      } else if (round % QUIET_EVERY_ROUNDS == 1) {
-        chosen.add(entry.getKey());
+    peers.values().removeIf(peer -> now - peer.heardAtMs > QUIET_MS * FRESH_ROUNDS);
+    fleet.refresh(now);
+    Map<String, Kind> mails = fleet.isMesh() ? meshMails(now) : hubMails(now);
+    addUp(now);
+    List<Mail> due = new ArrayList<>();
+    mails.forEach((receiver, kind) -> due.add(new Mail(receiver, kind)));
+    return due;
+  }
+
+  private Map<String, Kind> meshMails(long now) {
+    isHub = false;
+    Map<String, Kind> mails = new LinkedHashMap<>();
+    if (round % QUIET_EVERY_ROUNDS == 1) {
+      for (Vm vm : fleet.silentFor(QUIET_MS, now)) {
+        mails.put(vm.address(), Kind.OWN);
       }
     }
-    active.sort(null);
+    List<Vm> active = new ArrayList<>(fleet.heardWithin(QUIET_MS, now));
+    active.sort(Comparator.comparing(Vm::address));
     int size = active.size();
     int start = size <= PEERS_A_ROUND ? 0 : (int) (round * PEERS_A_ROUND % size);
     for (int i = 0; i < Math.min(size, PEERS_A_ROUND); i++) {
-      chosen.add(active.get((start + i) % size));
+      mails.put(active.get((start + i) % size).address(), Kind.OWN);
     }
-    return chosen;
+    return mails;
   }
 
-  /** Returns VMs that were heard of lately. */
-  public List<String> lately() {
-    long now = ticker.millis();
-    List<String> lately = new ArrayList<>();
-    peers.forEach(
-        (address, peer) -> {
-          if (now - peer.heardAtMs < QUIET_MS) {
-            lately.add(address);
-          }
-        });
-    return lately;
+  private Map<String, Kind> hubMails(long now) {
+    Map<String, Kind> mails = new LinkedHashMap<>();
+    List<String> served = new ArrayList<>();
+    List<String> otherHubs = new ArrayList<>();
+    for (Peer peer : peers.values()) {
+      if (now - peer.heardAtMs > SERVED_MS) {
+        continue;
+      }
+      if (peer.kind == Kind.OWN) {
+        served.add(peer.vm.address());
+      } else if (peer.kind == Kind.GROUP) {
+        otherHubs.add(peer.vm.address());
+      }
+    }
+    Set<String> hubs = fleet.hubs();
+    isHub = hubs.contains(self.address()) || !served.isEmpty();
+    if (!isHub) {
+      String hub = fleet.ownHub();
+      mails.put(hub, Kind.OWN);
+      fleet.expect(Set.of(hub), now);
+      return mails;
+    }
+    served.forEach(vm -> mails.put(vm, Kind.REST));
+    otherHubs.forEach(vm -> mails.put(vm, Kind.GROUP));
+    hubs.remove(self.address());
+    hubs.forEach(vm -> mails.put(vm, Kind.GROUP));
+    fleet.expect(hubs, now);
+    return mails;
+  }
+
+  /** Returns true if this VM is to ask the stores of parts itself. */
+  public boolean asksStores() {
+    return fleet.isMesh() || fleet.isFirstHub();
+  }
+
+  /** Returns true if other VMs rely on what this one asks of stores. */
+  public boolean isHub() {
+    return isHub;
   }
 
-  private void addUp() {
+  /** Returns what a message says of loads. */
+  List<Load> loadsFor(Mail mail, List<Load> own) {
+    if (mail.kind() == Kind.OWN) {
+      return own;
+    }
+    Map<Long, Load> sum = new HashMap<>();
+    add(sum, own);
     long now = ticker.millis();
-    long turns = 1L + peers.size() / PEERS_A_ROUND;
-    long freshMs = FRESH_ROUNDS * ROUND_MS * turns;
-    totals.clear();
     for (Peer peer : peers.values()) {
-      if (now - peer.heardAtMs > freshMs) {
+      boolean counts = peer.kind == Kind.OWN || (mail.kind() == Kind.REST && isOtherHub(peer));
+      if (counts && isFresh(peer, now) && !peer.vm.address().equals(mail.receiver())) {
+        add(sum, peer.loads);
+      }
+    }
+    return List.copyOf(sum.values());
+  }
+
+  private static boolean isOtherHub(Peer peer) {
+    return peer.kind == Kind.GROUP;
+  }
+
+  /** Returns some VMs that were heard of lately, others in each round. */
+  List<Sighting> sightings() {
+    List<Sighting> all = new ArrayList<>(fleet.sightings(ticker.millis()));
+    all.sort(Comparator.comparing(sighting -> sighting.vm().address()));
+    List<Sighting> named = new ArrayList<>();
+    int start = all.isEmpty() ? 0 : (int) (round * NAMED_VMS % all.size());
+    for (int i = 0; i < Math.min(NAMED_VMS, all.size()); i++) {
+      named.add(all.get((start + i) % all.size()));
+    }
+    return named;
+  }
+
+  private boolean isFresh(Peer peer, long now) {
+    long turns = fleet.isMesh() ? 1L + peers.size() / PEERS_A_ROUND : 1;
+    return now - peer.heardAtMs <= FRESH_ROUNDS * ROUND_MS * turns;
+  }
+
+  /** A hub counts its VMs and the other hubs' groups, a VM with a hub what that one tells. */
+  private void addUp(long now) {
+    Map<Long, Load> sum = new HashMap<>();
+    Peer latest = null;
+    for (Peer peer : peers.values()) {
+      if (!isFresh(peer, now)) {
         continue;
       }
-      for (Load load : peer.loads) {
-        totals.merge(load.server(), load, PeerLoads::sum);
+      if (peer.kind == Kind.REST) {
+        latest = latest == null || peer.heardAtMs > latest.heardAtMs ? peer : latest;
+      } else {
+        add(sum, peer.loads);
       }
     }
+    if (latest != null && !isHub) {
+      sum.clear();
+      add(sum, latest.loads);
+    }
+    totals = sum;
   }
 
-  private static Load sum(Load a, Load b) {
-    return new Load(a.server(), a.pendingTokens() + b.pendingTokens(), a.running() + b.running());
+  private static void add(Map<Long, Load> sum, List<Load> loads) {
+    for (Load load : loads) {
+      sum.merge(load.server(), load, Load::plus);
+    }
   }
 
   /** Returns the prompt tokens that a server has yet to read for other VMs. */
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/PartStore.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/PartStore.java
@@ -77,7 +77,7 @@
   }
 
   /** Takes all that the store keeps. */
-  void replaceAll(long storeEpoch, Map<String, Integer> parts, long nowMs) {
+  void replaceAll(long storeEpoch, Map<String, Integer> parts, long atMs, long nowMs) {
     noteEpoch(storeEpoch, nowMs);
     whole.clear();
     whole.putAll(parts);
@@ -85,13 +85,13 @@
     for (int tokens : parts.values()) {
       heldTokens += tokens;
     }
-    confirmedAtMs = nowMs;
+    confirmedAtMs = Math.max(confirmedAtMs, atMs);
   }
 
-  /** Notes that the store answered for a start of it, with what changed. */
-  void confirmed(long storeEpoch, long nowMs) {
+  /** Notes that the store answered at a time for a start of it, with what changed. */
+  void confirmed(long storeEpoch, long atMs, long nowMs) {
     noteEpoch(storeEpoch, nowMs);
-    confirmedAtMs = nowMs;
+    confirmedAtMs = Math.max(confirmedAtMs, atMs);
   }
 
   void added(String key, int tokens) {
@@ -114,6 +114,7 @@
     savingSinceMs.clear();
     heldTokens = 0;
     epoch = storeEpoch;
+    confirmedAtMs = Long.MIN_VALUE / 2;
     savesFromMs = nowMs + BELIEF_MS + SAVE_MARGIN_MS;
   }
 
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/PartStores.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/PartStores.java
@@ -87,22 +87,26 @@
     return byAddress.get(address);
   }
 
-  /** Takes all that a store keeps, each as SCOPE/PART with its tokens. */
-  public void listed(String address, long epoch, Map<String, Integer> parts) {
+  /** Takes all that a store kept at a time, each as SCOPE/PART with its tokens. */
+  void listed(String address, long epoch, long atMs, Map<String, Integer> parts) {
     PartStore store = byAddress.get(address);
     if (store != null) {
-      store.replaceAll(epoch, parts, loop.millis());
+      store.replaceAll(epoch, parts, atMs, loop.millis());
     }
   }
 
-  /** Takes what changed in a store since it was asked last. */
-  public void changed(
-      String address, long epoch, Map<String, Integer> added, Collection<String> removed) {
+  /** Takes what had changed in a store at a time. */
+  void changed(
+      String address,
+      long epoch,
+      long atMs,
+      Map<String, Integer> added,
+      Collection<String> removed) {
     PartStore store = byAddress.get(address);
     if (store == null) {
       return;
     }
-    store.confirmed(epoch, loop.millis());
+    store.confirmed(epoch, atMs, loop.millis());
     added.forEach(store::added);
     removed.forEach(store::removed);
   }
--- a/landingtrack/src/test/java/org/landingtrack/internal/loads/PeerLoadsTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/loads/PeerLoadsTest.java
@@ -22,25 +22,48 @@
 import java.util.List;
 import java.util.Set;
 import org.landingtrack.internal.base.FakeTicker;
+import org.landingtrack.internal.loads.LoadNews.Kind;
 import org.landingtrack.internal.loads.LoadNews.Load;
+import org.landingtrack.internal.loads.LoadNews.Sighting;
+import org.landingtrack.internal.loads.LoadNews.Vm;
+import org.landingtrack.internal.loads.PeerLoads.Mail;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 public final class PeerLoadsTest {
   private static final long SERVER = 42;
 
+  private static final Vm SELF = new Vm("self", "dc-1");
+
   private FakeTicker ticker = new FakeTicker();
-  private PeerLoads peers = new PeerLoads(ticker, "self");
+  private PeerLoads peers = new PeerLoads(ticker, SELF);
 
   @BeforeMethod
   public void newPeers() {
     ticker = new FakeTicker();
     ticker.pass(100_000);
-    peers = new PeerLoads(ticker, "self");
+    peers = new PeerLoads(ticker, SELF);
   }
 
   private static LoadNews news(String sender, long sequence, long tokens) {
-    return new LoadNews(sender, sequence, List.of(), List.of(new Load(SERVER, tokens, 1)));
+    return news(sender, "dc-1", sequence, Kind.OWN, tokens);
+  }
+
+  private static LoadNews news(
+      String sender, String dataCentre, long sequence, Kind kind, long tokens) {
+    return new LoadNews(
+        new Vm(sender, dataCentre),
+        sequence,
+        kind,
+        List.of(),
+        List.of(new Load(SERVER, tokens, 1)),
+        List.of());
+  }
+
+  private static Set<String> receivers(List<Mail> mails) {
+    Set<String> receivers = new HashSet<>();
+    mails.forEach(mail -> receivers.add(mail.receiver()));
+    return receivers;
   }
 
   @Test
@@ -79,27 +102,30 @@
   @Test
   public void vmsHearOfEachOtherThroughASeed() {
     peers.introduce(List.of("seed", "self"));
-    assertEquals(peers.nextRound(), List.of("seed"));
-    peers.heard(new LoadNews("seed", 1, List.of("other", "self"), List.of()));
+    assertEquals(receivers(peers.nextRound()), Set.of("seed"));
+    List<Sighting> seen =
+        List.of(new Sighting(new Vm("other", "dc-2"), 300), new Sighting(SELF, 10));
+    peers.heard(new LoadNews(new Vm("seed", "dc-1"), 1, Kind.OWN, seen, List.of(), List.of()));
     Set<String> told = new HashSet<>();
     for (int i = 0; i < 20; i++) {
-      told.addAll(peers.nextRound());
+      told.addAll(receivers(peers.nextRound()));
     }
     assertEquals(told, Set.of("seed", "other"));
-    assertEquals(peers.lately(), List.of("seed"));
+    assertEquals(peers.sightings().size(), 2);
   }
 
+  /** A VM that nobody hears of any more is named no more, however often others named it before. */
   @Test
-  public void manyVmsTakeTurns() {
-    for (int i = 0; i < 60; i++) {
-      peers.heard(news("vm-" + i, 1, 1));
-    }
-    Set<String> told = new HashSet<>();
-    for (int i = 0; i < 8; i++) {
-      List<String> round = peers.nextRound();
-      assertTrue(round.size() <= PeerLoads.PEERS_A_ROUND, "too many: " + round.size());
-      told.addAll(round);
+  public void aDeadVmIsForgotten() {
+    Vm dead = new Vm("dead", "dc-1");
+    for (int second = 0; second < 70; second++) {
+      List<Sighting> seen = List.of(new Sighting(dead, 1_000L * second));
+      peers.heard(
+          new LoadNews(new Vm("other", "dc-1"), second + 1, Kind.OWN, seen, List.of(), List.of()));
+      Set<String> told = receivers(peers.nextRound());
+      assertEquals(peers.sightings().stream().anyMatch(s -> s.vm().equals(dead)), second <= 20);
+      assertTrue(second <= 60 || !told.contains("dead"), "told after " + second);
+      ticker.pass(1_000);
     }
-    assertEquals(told.size(), 60);
   }
 }
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/PartStoresTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/PartStoresTest.java
@@ -43,9 +43,9 @@
   }
 
   private void settle() {
-    stores.listed(ADDRESS, 1, Map.of());
+    stores.listed(ADDRESS, 1, loop.millis(), Map.of());
     loop.advance(PartStore.BELIEF_MS + 500);
-    stores.changed(ADDRESS, 1, Map.of(), List.of());
+    stores.changed(ADDRESS, 1, loop.millis(), Map.of(), List.of());
   }
 
   @Test
@@ -55,7 +55,7 @@
     assertEquals(first.save(), List.of(ADDRESS, ""));
     assertFalse(first.fetches());
     assertFalse(stores.plan("v1", PROMPT).saves(), "ordered twice");
-    stores.changed(ADDRESS, 1, Map.of("v1/a", 500), List.of());
+    stores.changed(ADDRESS, 1, loop.millis(), Map.of("v1/a", 500), List.of());
     PartMoves next = stores.plan("v1", PROMPT);
     assertEquals(next.fetch(), List.of(ADDRESS, ""));
     assertEquals(next.untilMs(), loop.millis() + PartStore.BELIEF_MS);
@@ -65,7 +65,7 @@
   @Test
   public void aScopeSeesNothingOfAnother() {
     settle();
-    stores.changed(ADDRESS, 1, Map.of("v1/a", 500), List.of());
+    stores.changed(ADDRESS, 1, loop.millis(), Map.of("v1/a", 500), List.of());
     assertFalse(stores.plan("v2", PROMPT).fetches());
     assertFalse(stores.plan("v1-team", PROMPT).fetches());
   }
@@ -73,7 +73,7 @@
   @Test
   public void anOldBeliefIsNotUsed() {
     settle();
-    stores.changed(ADDRESS, 1, Map.of("v1/a", 500), List.of());
+    stores.changed(ADDRESS, 1, loop.millis(), Map.of("v1/a", 500), List.of());
     loop.advance(PartStore.BELIEF_MS - PartStore.MIN_FETCH_MS);
     assertTrue(stores.plan("v1", PROMPT).fetches());
     loop.advance(1);
@@ -83,23 +83,23 @@
   @Test
   public void aNewStartForgetsAllAndSavesOnlyAfterOthersBeliefs() {
     settle();
-    stores.changed(ADDRESS, 1, Map.of("v1/a", 500), List.of());
-    stores.changed(ADDRESS, 2, Map.of(), List.of());
+    stores.changed(ADDRESS, 1, loop.millis(), Map.of("v1/a", 500), List.of());
+    stores.changed(ADDRESS, 2, loop.millis(), Map.of(), List.of());
     assertFalse(stores.plan("v1", PROMPT).fetches());
     for (long ms = 0; ms < PartStore.BELIEF_MS; ms += 100) {
       assertFalse(stores.plan("v1", PROMPT).saves(), "saved after " + ms);
       loop.advance(100);
-      stores.changed(ADDRESS, 2, Map.of(), List.of());
+      stores.changed(ADDRESS, 2, loop.millis(), Map.of(), List.of());
     }
     loop.advance(500);
-    stores.changed(ADDRESS, 2, Map.of(), List.of());
+    stores.changed(ADDRESS, 2, loop.millis(), Map.of(), List.of());
     assertTrue(stores.plan("v1", PROMPT).saves());
   }
 
   @Test
   public void aFullStoreTakesNothingMore() {
     settle();
-    stores.changed(ADDRESS, 1, Map.of("v1/b", 9_500), List.of());
+    stores.changed(ADDRESS, 1, loop.millis(), Map.of("v1/b", 9_500), List.of());
     assertFalse(stores.plan("v1", PROMPT).saves());
   }
 
@@ -138,7 +138,7 @@
       for (int i = 0; i < VMS; i++) {
         vms[i] = new PartStores(loop);
         vms[i].configure(List.of(STORE));
-        vms[i].listed(ADDRESS, epoch, Map.of());
+        vms[i].listed(ADDRESS, epoch, loop.millis(), Map.of());
       }
     }
 
@@ -170,7 +170,7 @@
       pollAtMs[i] = loop.millis() + (cut ? 2_000 : 100 + random.nextInt(300));
       long told = epoch;
       Map<String, Integer> parts = whole ? Map.of("v1/a", 500) : Map.of();
-      loop.schedule(random.nextInt(100), () -> vms[i].listed(ADDRESS, told, parts));
+      loop.schedule(random.nextInt(100), () -> vms[i].listed(ADDRESS, told, loop.millis(), parts));
     }
 
     private void request(int i) {
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/RequestRunTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/RequestRunTest.java
@@ -304,9 +304,9 @@
   public void anIsolatedTeamSharesNoPartWithOthers() {
     PartStores stores = world.state.parts();
     String address = ServingWorld.STORE.address();
-    stores.listed(address, 1, Map.of());
+    stores.listed(address, 1, world.loop.millis(), Map.of());
     world.loop.advance(2_000);
-    stores.changed(address, 1, Map.of("v1/a", 500), List.of());
+    stores.changed(address, 1, world.loop.millis(), Map.of("v1/a", 500), List.of());
     world.serve("/chat/x", ServingWorld.KEY);
     assertTrue(world.transport.last().call.moves().fetches());
     world.transport.last().answer(200, "");
@@ -315,7 +315,7 @@
     assertFalse(walled.moves().fetches());
     assertEquals(walled.cacheScope(), "v1-team-2");
     assertTrue(walled.moves().saves(), "saved under its own scope");
-    stores.changed(address, 1, Map.of("v1-team-2/a", 500), List.of());
+    stores.changed(address, 1, world.loop.millis(), Map.of("v1-team-2/a", 500), List.of());
     world.serve("/chat/x", ServingWorld.WALLED_KEY);
     assertTrue(world.transport.last().call.moves().fetches());
   }
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/ServingWorld.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/ServingWorld.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
+import org.landingtrack.internal.loads.LoadNews.Vm;
 import org.landingtrack.internal.loads.PeerLoads;
 import org.landingtrack.internal.serving.Route.Repeat;
 import org.landingtrack.internal.serving.ServiceInfo.EngineInfo;
@@ -35,7 +36,7 @@
   final FakeTransport transport = new FakeTransport();
   final DecisionLog log = new BoundedDecisionLog(new StructuredDecisionLog(), loop);
   final ServerBook book = new ServerBook(loop, log, 1_400, 2_500);
-  final PeerLoads peerLoads = new PeerLoads(loop, "10.0.1.1:70");
+  final PeerLoads peerLoads = new PeerLoads(loop, new Vm("10.0.1.1:70", "dc-1"));
   final ServingState state = new ServingState(loop, book, peerLoads, log, 3);
   final Serving serving =
       new Serving(loop, state, transport, log, new ServingOptions("dc-1", 20, 8_000));
