--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/Fleet.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/Fleet.java
@@ -42,6 +42,9 @@
   /** VMs that one hub serves; 240 messages in and out a second. */
   static final int GROUP_VMS = 24;
 
+  /** Hubs are found among the strongest VMs of a data centre, and those about as strong. */
+  private static final double STRONG_SHARE = 0.7;
+
   /** A hub answers each round; this is five of them. */
   static final long SILENT_MS = 500;
 
@@ -99,7 +102,7 @@
   /** Notes that there may be a VM at an address; its data centre is not known yet. */
   void introduce(String address, long nowMs) {
     if (!known.containsKey(address)) {
-      entry(new Vm(address, self.dataCentre())).seenAtMs = nowMs - NAME_MS - 1;
+      entry(new Vm(address, self.dataCentre(), 0)).seenAtMs = nowMs - NAME_MS - 1;
     }
   }
 
@@ -178,9 +181,14 @@
 
   private @Nullable String hub(String dataCentre, int index, List<Known> members, long nowMs) {
     long key = Hashes.placement(dataCentre, Integer.toString(index));
+    int strongest = 0;
+    for (Known entry : members) {
+      strongest = Math.max(strongest, isPassedOver(entry, nowMs) ? 0 : entry.vm.strength());
+    }
     Known best = null;
     for (Known entry : members) {
-      if (nowMs < entry.passOverUntilMs && !entry.vm.equals(self)) {
+      boolean isWeak = entry.vm.strength() < strongest * STRONG_SHARE;
+      if (isWeak || isPassedOver(entry, nowMs)) {
         continue;
       }
       if (best == null || Hashes.weight(key, entry.hash) > Hashes.weight(key, best.hash)) {
@@ -190,6 +198,10 @@
     return best == null ? null : best.vm.address();
   }
 
+  private boolean isPassedOver(Known entry, long nowMs) {
+    return nowMs < entry.passOverUntilMs && !entry.vm.equals(self);
+  }
+
   /** Returns the hub that this VM belongs to; itself if it is one. */
   String ownHub() {
     List<Group> own = new ArrayList<>();
--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/LoadExchange.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/LoadExchange.java
@@ -15,6 +15,7 @@
  */
 package org.landingtrack.internal.loads;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectReader;
 import com.fasterxml.jackson.databind.ObjectWriter;
 import java.io.IOException;
@@ -22,12 +23,15 @@
 import java.net.DatagramSocket;
 import java.net.InetSocketAddress;
 import java.util.Arrays;
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Executor;
 import java.util.function.Supplier;
 import org.landingtrack.internal.base.Addresses;
 import org.landingtrack.internal.base.Duty;
 import org.landingtrack.internal.base.MessagePack;
+import org.landingtrack.internal.loads.LoadNews.Kind;
 import org.landingtrack.internal.loads.LoadNews.Load;
 import org.landingtrack.internal.loads.LoadNews.Sighting;
 import org.landingtrack.internal.loads.PeerLoads.Mail;
@@ -60,7 +64,7 @@
      *
      * @param kind the kind of the message: other hubs are told only what this VM asked itself
      */
-    List<StoreNews> news(LoadNews.Kind kind);
+    List<StoreNews> news(Kind kind);
 
     /** Begins a round: what is new from now on is told in the next one. */
     void nextRound();
@@ -122,23 +126,27 @@
     List<Load> loads = own.get();
     List<Sighting> seen = peers.sightings();
     sequence++;
+    Map<Kind, byte[]> byKind = new EnumMap<>(Kind.class);
     for (Mail mail : mails) {
-      List<Load> counted = peers.loadsFor(mail, loads);
-      send(
-          mail.receiver(),
-          new LoadNews(
-              peers.self(),
-              sequence,
-              mail.kind(),
-              seen,
-              counted.subList(0, Math.min(MAX_LOADS, counted.size())),
-              stores.news(mail.kind())));
+      byte[] bytes = byKind.computeIfAbsent(mail.kind(), kind -> encode(kind, loads, seen));
+      send(mail.receiver(), bytes);
     }
   }
 
-  private void send(String receiver, LoadNews news) {
+  /** All receivers of a kind are told the same. */
+  private byte[] encode(Kind kind, List<Load> own, List<Sighting> seen) {
+    List<Load> counted = peers.loadsFor(kind, own);
+    List<Load> told = counted.subList(0, Math.min(MAX_LOADS, counted.size()));
+    try {
+      return WRITER.writeValueAsBytes(
+          new LoadNews(peers.self(), sequence, kind, seen, told, stores.news(kind)));
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("news cannot be encoded", e);
+    }
+  }
+
+  private void send(String receiver, byte[] bytes) {
     try {
-      byte[] bytes = WRITER.writeValueAsBytes(news);
       socket.send(new DatagramPacket(bytes, bytes.length, Addresses.parse(receiver)));
     } catch (IOException e) {
       log.debug("News for {} were not sent: {}.", receiver, e.toString());
--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/LoadNews.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/LoadNews.java
@@ -48,17 +48,18 @@
     OWN,
     /** Those of the sender and of the VMs that tell it theirs; one hub tells another. */
     GROUP,
-    /** Those of all VMs but the receiver; a hub tells a VM that told it its own. */
-    REST
+    /** Those of all VMs; a hub tells the VMs that told it theirs. */
+    ALL
   }
 
   /**
    * A VM.
    *
    * @param address where it hears news
+   * @param strength hundredths of a core; 0 where it is not known
    */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-  public record Vm(String address, String dataCentre) {}
+  public record Vm(String address, String dataCentre, int strength) {}
 
   /**
    * A VM that spoke to the sender or to another one.
@@ -80,5 +81,13 @@
     Load plus(Load other) {
       return new Load(server, pendingTokens + other.pendingTokens, running + other.running);
     }
+
+    /** Returns this load without another one, and never less than nothing. */
+    Load without(Load other) {
+      return new Load(
+          server,
+          Math.max(0, pendingTokens - other.pendingTokens),
+          Math.max(0, running - other.running));
+    }
   }
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/PeerLoads.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/PeerLoads.java
@@ -31,7 +31,7 @@
 /**
  * What other VMs have under way at backend servers, and who tells whom. Up to a dozen VMs tell each
  * other; in a larger fleet each tells its hub, hubs tell each other the sums of their groups, and a
- * hub tells each of its VMs what all the others have. Not thread-safe.
+ * hub tells its VMs what all have, of which each takes off its own. Not thread-safe.
  */
 public final class PeerLoads {
   /** Between two rounds of news. */
@@ -59,6 +59,7 @@
   private final Fleet fleet;
   private final Map<String, Peer> peers = new HashMap<>();
   private Map<Long, Load> totals = new HashMap<>();
+  private List<Load> told = List.of();
   private long round;
   private boolean isHub;
 
@@ -175,7 +176,7 @@
       fleet.expect(Set.of(hub), now);
       return mails;
     }
-    served.forEach(vm -> mails.put(vm, Kind.REST));
+    served.forEach(vm -> mails.put(vm, Kind.ALL));
     otherHubs.forEach(vm -> mails.put(vm, Kind.GROUP));
     hubs.remove(self.address());
     hubs.forEach(vm -> mails.put(vm, Kind.GROUP));
@@ -193,27 +194,24 @@
     return isHub;
   }
 
-  /** Returns what a message says of loads. */
-  List<Load> loadsFor(Mail mail, List<Load> own) {
-    if (mail.kind() == Kind.OWN) {
+  /** Returns what a message of a kind says of loads, and notes what this VM tells of itself. */
+  List<Load> loadsFor(Kind kind, List<Load> own) {
+    if (kind == Kind.OWN) {
+      told = own;
       return own;
     }
     Map<Long, Load> sum = new HashMap<>();
     add(sum, own);
     long now = ticker.millis();
     for (Peer peer : peers.values()) {
-      boolean counts = peer.kind == Kind.OWN || (mail.kind() == Kind.REST && isOtherHub(peer));
-      if (counts && isFresh(peer, now) && !peer.vm.address().equals(mail.receiver())) {
+      boolean counts = peer.kind == Kind.OWN || (kind == Kind.ALL && peer.kind == Kind.GROUP);
+      if (counts && isFresh(peer, now)) {
         add(sum, peer.loads);
       }
     }
     return List.copyOf(sum.values());
   }
 
-  private static boolean isOtherHub(Peer peer) {
-    return peer.kind == Kind.GROUP;
-  }
-
   /** Returns some VMs that were heard of lately, others in each round. */
   List<Sighting> sightings() {
     List<Sighting> all = new ArrayList<>(fleet.sightings(ticker.millis()));
@@ -231,7 +229,7 @@
     return now - peer.heardAtMs <= FRESH_ROUNDS * ROUND_MS * turns;
   }
 
-  /** A hub counts its VMs and the other hubs' groups, a VM with a hub what that one tells. */
+  /** A hub counts its VMs and other hubs' groups; a VM with a hub what that one tells of others. */
   private void addUp(long now) {
     Map<Long, Load> sum = new HashMap<>();
     Peer latest = null;
@@ -239,7 +237,7 @@
       if (!isFresh(peer, now)) {
         continue;
       }
-      if (peer.kind == Kind.REST) {
+      if (peer.kind == Kind.ALL) {
         latest = latest == null || peer.heardAtMs > latest.heardAtMs ? peer : latest;
       } else {
         add(sum, peer.loads);
@@ -248,6 +246,9 @@
     if (latest != null && !isHub) {
       sum.clear();
       add(sum, latest.loads);
+      for (Load load : told) {
+        sum.computeIfPresent(load.server(), (server, all) -> all.without(load));
+      }
     }
     totals = sum;
   }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/PartRelay.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/PartRelay.java
@@ -81,11 +81,15 @@
     this.wantList = wantList;
   }
 
-  /** Takes all that a store keeps. */
+  /**
+   * Takes all that a store keeps.
+   *
+   * @param askedAtMs when it was asked: a list does not say its time, but is no older than that
+   */
   public void listed(
-      String address, long epoch, long serversMs, long next, Map<String, Integer> held) {
+      String address, long epoch, long askedAtMs, long next, Map<String, Integer> held) {
     long now = loop.millis();
-    clock.told(serversMs, now);
+    long serversMs = clock.at(askedAtMs).orElse(Long.MIN_VALUE);
     Relayed store = stores.computeIfAbsent(address, name -> new Relayed());
     if (isOlderStart(store, epoch, serversMs)) {
       return;
@@ -94,8 +98,10 @@
     begin(store, epoch);
     store.next = next;
     store.serversMs = Math.max(store.serversMs, serversMs);
-    parts.listed(address, epoch, clock.loopMs(serversMs, now), held);
-    newSince.add(address);
+    parts.listed(address, epoch, askedAtMs, held);
+    if (store.serversMs > Long.MIN_VALUE) {
+      newSince.add(address);
+    }
   }
 
   /** Of some changes a store never tells; a list shows them, and they are handed on. */
@@ -172,7 +178,7 @@
 
   /** News may overtake each other; those of a start before the known one say nothing. */
   private static boolean isOlderStart(Relayed store, long epoch, long serversMs) {
-    return store.epoch != epoch && serversMs <= store.serversMs;
+    return store.epoch != epoch && store.epoch >= 0 && serversMs <= store.serversMs;
   }
 
   private static void begin(Relayed store, long epoch) {
@@ -199,7 +205,7 @@
     }
     for (String address : newInRound) {
       Relayed store = stores.get(address);
-      if (store != null && (kind == Kind.REST || isAskedHere(store, loop.millis()))) {
+      if (store != null && (kind == Kind.ALL || isAskedHere(store, loop.millis()))) {
         news.add(newsOf(address, store));
       }
     }
--- a/landingtrack/src/main/java/org/landingtrack/internal/settings/EntrySettings.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/settings/EntrySettings.java
@@ -23,6 +23,7 @@
  * Settings of an entry process: the one process of an entry VM where the platform's store holds the
  * configuration and the list of backend servers.
  *
+ * @param strength hundredths of a core that this VM has
  * @param callersAddress where callers connect
  * @param readinessAddress where the balancer asks whether this VM wants connections
  * @param peersAddress where this VM hears from others, by UDP
@@ -41,6 +42,7 @@
 public record EntrySettings(
     String vm,
     String dataCentre,
+    int strength,
     String logLevel,
     String callersAddress,
     String readinessAddress,
@@ -57,6 +59,8 @@
     long weightsMs,
     boolean fencesChecked) {
 
+  private static final int HUNDREDTHS = 100;
+  private static final long MAX_CORES = 1_024;
   private static final long MAX_RATE = 1_000_000;
   private static final long MAX_MS = 3_600_000;
   private static final List<SettingKey> KEYS = keys();
@@ -73,6 +77,8 @@
         SettingKey.texts("peers.seeds", List.of(), CommonKeys.ADDRESS, CommonKeys.ADDRESS_RULE));
     keys.add(SettingKey.number("store.readsPerSecond", null, 1, MAX_RATE));
     keys.add(SettingKey.number("store.writesPerSecond", null, 1, MAX_RATE));
+    keys.add(SettingKey.share("cpu.share"));
+    keys.add(SettingKey.number("cpu.cores", null, 1, MAX_CORES));
     keys.add(SettingKey.number("stopGraceS", null, 1, MAX_MS / 1_000));
     keys.add(SettingKey.number("servers.leavingMs", null, 0, MAX_MS));
     keys.add(SettingKey.share("retries.share"));
@@ -88,6 +94,7 @@
     return new EntrySettings(
         vm,
         dataCentre,
+        strength,
         level,
         callersAddress,
         readinessAddress,
@@ -111,6 +118,7 @@
     return new EntrySettings(
         v.text("vm"),
         v.text("dataCentre"),
+        (int) Math.round(HUNDREDTHS * v.share("cpu.share") * v.number("cpu.cores")),
         v.text("log.level"),
         v.text("callers.address"),
         v.text("readiness.address"),
--- a/landingtrack/src/test/java/org/landingtrack/internal/loads/FleetTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/loads/FleetTest.java
@@ -67,7 +67,7 @@
 
   private void start(int count, int dataCentres) {
     for (int i = 0; i < count; i++) {
-      Vm vm = new Vm("vm-" + i, "dc-" + i % dataCentres);
+      Vm vm = new Vm("vm-" + i, "dc-" + i % dataCentres, i < 12 ? 150 : 36);
       PeerLoads loads = new PeerLoads(ticker, vm);
       loads.introduce(List.of("vm-0", "vm-1", "vm-2"));
       members.put(vm.address(), new Member(vm, loads));
@@ -103,7 +103,7 @@
               member.sequence,
               mail.kind(),
               member.loads.sightings(),
-              member.loads.loadsFor(mail, own),
+              member.loads.loadsFor(mail.kind(), own),
               List.of()));
     }
   }
@@ -126,12 +126,24 @@
       assertEquals(member.loads.running(SERVER), count - 1, member.vm.toString());
       assertEquals(member.loads.pendingTokens(SERVER), 10L * (count - 1));
     }
+    if (count > Fleet.MESH_VMS) {
+      assertTrue(hubsAreStrong(), "a weak VM is a hub");
+    }
     assertTrue(messages <= count * (count <= Fleet.MESH_VMS ? 8 : 5), "a round: " + messages);
     assertTrue(
         count <= Fleet.MESH_VMS || acrossDataCentres <= 4 * count,
         "between data centres: " + acrossDataCentres);
   }
 
+  private boolean hubsAreStrong() {
+    for (Member member : members.values()) {
+      if (member.loads.isHub() && member.vm.strength() < 150) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   /** At most a dozen VMs ask a store at once, and in each data centre one does. */
   @Test(dataProvider = "sizes")
   public void aFewVmsAskStores(int count, int dataCentres) {
@@ -194,7 +206,7 @@
     start(59, 3);
     rounds(SETTLE_ROUNDS);
     members.get("vm-0").alive = false;
-    Vm vm = new Vm("new", "dc-1");
+    Vm vm = new Vm("new", "dc-1", 36);
     PeerLoads loads = new PeerLoads(ticker, vm);
     loads.introduce(List.of("vm-0", "vm-1", "vm-2"));
     members.put("new", new Member(vm, loads));
--- a/landingtrack/src/test/java/org/landingtrack/internal/loads/PeerLoadsTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/loads/PeerLoadsTest.java
@@ -33,7 +33,7 @@
 public final class PeerLoadsTest {
   private static final long SERVER = 42;
 
-  private static final Vm SELF = new Vm("self", "dc-1");
+  private static final Vm SELF = new Vm("self", "dc-1", 36);
 
   private FakeTicker ticker = new FakeTicker();
   private PeerLoads peers = new PeerLoads(ticker, SELF);
@@ -52,7 +52,7 @@
   private static LoadNews news(
       String sender, String dataCentre, long sequence, Kind kind, long tokens) {
     return new LoadNews(
-        new Vm(sender, dataCentre),
+        new Vm(sender, dataCentre, 36),
         sequence,
         kind,
         List.of(),
@@ -104,8 +104,8 @@
     peers.introduce(List.of("seed", "self"));
     assertEquals(receivers(peers.nextRound()), Set.of("seed"));
     List<Sighting> seen =
-        List.of(new Sighting(new Vm("other", "dc-2"), 300), new Sighting(SELF, 10));
-    peers.heard(new LoadNews(new Vm("seed", "dc-1"), 1, Kind.OWN, seen, List.of(), List.of()));
+        List.of(new Sighting(new Vm("other", "dc-2", 36), 300), new Sighting(SELF, 10));
+    peers.heard(new LoadNews(new Vm("seed", "dc-1", 36), 1, Kind.OWN, seen, List.of(), List.of()));
     Set<String> told = new HashSet<>();
     for (int i = 0; i < 20; i++) {
       told.addAll(receivers(peers.nextRound()));
@@ -117,11 +117,12 @@
   /** A VM that nobody hears of any more is named no more, however often others named it before. */
   @Test
   public void aDeadVmIsForgotten() {
-    Vm dead = new Vm("dead", "dc-1");
+    Vm dead = new Vm("dead", "dc-1", 36);
     for (int second = 0; second < 70; second++) {
       List<Sighting> seen = List.of(new Sighting(dead, 1_000L * second));
       peers.heard(
-          new LoadNews(new Vm("other", "dc-1"), second + 1, Kind.OWN, seen, List.of(), List.of()));
+          new LoadNews(
+              new Vm("other", "dc-1", 36), second + 1, Kind.OWN, seen, List.of(), List.of()));
       Set<String> told = receivers(peers.nextRound());
       assertEquals(peers.sightings().stream().anyMatch(s -> s.vm().equals(dead)), second <= 20);
       assertTrue(second <= 60 || !told.contains("dead"), "told after " + second);
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/ServingWorld.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/ServingWorld.java
@@ -36,7 +36,7 @@
   final FakeTransport transport = new FakeTransport();
   final DecisionLog log = new BoundedDecisionLog(new StructuredDecisionLog(), loop);
   final ServerBook book = new ServerBook(loop, log, 1_400, 2_500);
-  final PeerLoads peerLoads = new PeerLoads(loop, new Vm("10.0.1.1:70", "dc-1"));
+  final PeerLoads peerLoads = new PeerLoads(loop, new Vm("10.0.1.1:70", "dc-1", 0));
   final ServingState state = new ServingState(loop, book, peerLoads, log, 3);
   final Serving serving =
       new Serving(loop, state, transport, log, new ServingOptions("dc-1", 20, 8_000));
