--- a/landingtrack/src/main/java/org/landingtrack/internal/settings/EntrySettings.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/settings/EntrySettings.java
@@ -31,6 +31,8 @@
  * @param storeAddress the platform's store
  * @param storeReadsPerSecond reading calls that the store takes from all VMs together
  * @param storeWritesPerSecond writing calls likewise
+ * @param storeSettledMs how long after its last trouble the store counts as sound
+ * @param configMs within which an accepted configuration must be in force
  * @param stopGraceMs from the signal to stop until the process is killed
  * @param leavingMs how long a leaving backend server may get requests
  * @param retryShare retries of a service for each of its requests
@@ -51,6 +53,8 @@
     String storeAddress,
     double storeReadsPerSecond,
     double storeWritesPerSecond,
+    long storeSettledMs,
+    long configMs,
     long stopGraceMs,
     long leavingMs,
     double retryShare,
@@ -77,6 +81,8 @@
         SettingKey.texts("peers.seeds", List.of(), CommonKeys.ADDRESS, CommonKeys.ADDRESS_RULE));
     keys.add(SettingKey.number("store.readsPerSecond", null, 1, MAX_RATE));
     keys.add(SettingKey.number("store.writesPerSecond", null, 1, MAX_RATE));
+    keys.add(SettingKey.number("store.settledMs", null, 0, MAX_MS));
+    keys.add(SettingKey.number("config.withinMs", null, 100, MAX_MS));
     keys.add(SettingKey.share("cpu.share"));
     keys.add(SettingKey.number("cpu.cores", null, 1, MAX_CORES));
     keys.add(SettingKey.number("stopGraceS", null, 1, MAX_MS / 1_000));
@@ -103,6 +109,8 @@
         storeAddress,
         storeReadsPerSecond,
         storeWritesPerSecond,
+        storeSettledMs,
+        configMs,
         stopGraceMs,
         leavingMs,
         retryShare,
@@ -127,6 +135,8 @@
         v.text("store.address"),
         v.number("store.readsPerSecond"),
         v.number("store.writesPerSecond"),
+        v.number("store.settledMs"),
+        v.number("config.withinMs"),
         1_000 * v.number("stopGraceS"),
         v.number("servers.leavingMs"),
         v.share("retries.share"),
