--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/BackendTransport.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/BackendTransport.java
@@ -100,6 +100,12 @@
       int status, List<Header> headers, boolean isStream, OptionalLong weightVersion) {
 
     private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
+    private static final int FIRST_SERVER_ERROR = 500;
+
+    /** Returns true if the server says that it failed. */
+    boolean isServerError() {
+      return status >= FIRST_SERVER_ERROR;
+    }
 
     /** Returns true if callers read this status as "did not run and never will". */
     boolean promisesNotRun() {
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
@@ -44,8 +44,6 @@
   /** When a caller should come back after a refusal for lack of a server. */
   private static final long RETRY_AFTER_MS = 250;
 
-  private static final int FIRST_SERVER_ERROR = 500;
-
   private final Serving serving;
   private final CallerRequest request;
   private final CallerSink sink;
@@ -352,7 +350,7 @@
     public void ended(Attempt sent, AnswerHead answer, byte[] body) {
       attempt = null;
       noteFirst();
-      if (answer.status() >= FIRST_SERVER_ERROR) {
+      if (answer.isServerError()) {
         serving.log().tryFailed(RequestRun.this, sent.serverId(), "status " + answer.status(), "");
         inDoubt = true;
         if (trySendAgain()) {
