--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/PeerLoads.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/PeerLoads.java
@@ -184,6 +184,11 @@
     return mails;
   }
 
+  /** Returns true while the VMs are few enough to tell each other all. */
+  public boolean isMesh() {
+    return fleet.isMesh();
+  }
+
   /** Returns true if this VM is to ask the stores of parts itself. */
   public boolean asksStores() {
     return fleet.isMesh() || fleet.isFirstHub();
--- a/landingtrack/src/main/java/org/landingtrack/internal/platform/ObjectFeed.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/platform/ObjectFeed.java
@@ -15,6 +15,7 @@
  */
 package org.landingtrack.internal.platform;
 
+import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.landingtrack.internal.base.Duty;
 import org.landingtrack.internal.platform.ObjectApi.CallClass;
@@ -36,12 +37,10 @@
   private static final long MAX_PAUSE_MS = 400;
   private static final int ALL = Integer.MAX_VALUE;
 
-  /** Changes that come at once are read by one call: each call of each VM has a price. */
-  private static final long GATHER_MS = 250;
-
   private final ObjectApi api;
   private final String prefix;
   private final long waitMs;
+  private final LongSupplier gatherMs;
   private final Sink sink;
   private final Backoff backoff;
   private final Thread thread;
@@ -69,11 +68,19 @@
    * Creates a feed.
    *
    * @param waitMs how long a watch waits; a broken path is noticed after about so long
+   * @param gatherMs between changes and the next watch, so that one call reads what comes at once
    */
-  public ObjectFeed(ObjectApi api, String prefix, long waitMs, RandomGenerator random, Sink sink) {
+  public ObjectFeed(
+      ObjectApi api,
+      String prefix,
+      long waitMs,
+      LongSupplier gatherMs,
+      RandomGenerator random,
+      Sink sink) {
     this.api = api;
     this.prefix = prefix;
     this.waitMs = waitMs;
+    this.gatherMs = gatherMs;
     this.sink = sink;
     this.backoff = new Backoff(random, FIRST_PAUSE_MS, MAX_PAUSE_MS);
     this.thread = Duty.daemon("feed-" + prefix).newThread(this::run);
@@ -92,7 +99,7 @@
         backoff.reset();
         noteAnswer();
         if (moreMayFollow) {
-          pause(GATHER_MS);
+          pause(gatherMs.getAsLong());
         }
       } catch (PlatformException e) {
         if (e.reason() == PlatformException.Reason.TOO_OLD) {
--- a/landingtrack/src/test/java/org/landingtrack/internal/platform/ObjectFeedTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/platform/ObjectFeedTest.java
@@ -43,6 +43,7 @@
         api,
         "config",
         1_000,
+        () -> 0,
         new Random(1),
         new ObjectFeed.Sink() {
           @Override
