News of part stores: tests of the relay, and two answers within one millisecond

Found by the new test: changes of an answer that came in the same millisecond as the one before were not handed on, since only answers with a newer time were; what this VM asked itself is always handed on now. The relay's world (200 seeds): messages lost, late by up to 1.5 s and overtaking, stores that start anew; no fetch that may still run meets a part that is being written.

--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/PartRelay.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/PartRelay.java
@@ -148,7 +148,7 @@
     store.serversMs = Math.max(store.serversMs, news.serversMs());
     store.askedAtMs = askedHere ? now : store.askedAtMs;
     apply(news, store);
-    if (isNewer) {
+    if (askedHere || isNewer) {
       for (Change change : news.changes()) {
         store.recent.add(new Recent(change, Math.min(before, news.from()), now));
       }
--- /dev/null
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/PartRelayTest.java
@@ -0,0 +1,274 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.serving;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.landingtrack.internal.loads.LoadNews.Kind;
+import org.landingtrack.internal.loads.StoreNews;
+import org.landingtrack.internal.loads.StoreNews.Change;
+import org.landingtrack.internal.serving.PartStore.StoreInfo;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** News of a store of parts that one VM asks and others hear of. */
+public final class PartRelayTest {
+  private static final String ADDRESS = "10.0.0.9:80";
+  private static final StoreInfo STORE = new StoreInfo("parts", ADDRESS, "dc-1", 10_000, 100_000);
+  private static final Prompt PROMPT =
+      new Prompt("m", 10, List.of(new Prompt.Part("a", 500), new Prompt.Part("own", 100)));
+
+  /** The servers' clock less that of the loop. */
+  private static final long AHEAD_MS = 5_000;
+
+  private ManualLoop loop = new ManualLoop();
+  private Vm hub = new Vm(loop);
+  private Vm other = new Vm(loop);
+
+  @BeforeMethod
+  public void newVms() {
+    loop = new ManualLoop();
+    hub = new Vm(loop);
+    other = new Vm(loop);
+  }
+
+  private static final class Vm {
+    final ServersClock clock = new ServersClock();
+    final PartStores stores;
+    final PartRelay relay;
+    final List<String> wantedLists = new ArrayList<>();
+
+    Vm(ManualLoop loop) {
+      stores = new PartStores(loop);
+      stores.configure(List.of(STORE));
+      relay = new PartRelay(loop, stores, clock, wantedLists::add);
+    }
+
+    boolean fetches() {
+      return stores.plan("v1", PROMPT).fetches();
+    }
+  }
+
+  private StoreNews answer(long epoch, long from, long next, Change... changes) {
+    return new StoreNews(ADDRESS, epoch, loop.millis() + AHEAD_MS, from, next, List.of(changes));
+  }
+
+  private static Change kept(String key) {
+    return new Change(true, key, 500);
+  }
+
+  private void round() {
+    hub.relay.nextRound();
+    hub.relay.news(Kind.ALL).forEach(other.relay::heard);
+  }
+
+  @Test
+  public void whatAHubIsToldIsHandedOnAndBelievedAsLong() {
+    hub.relay.answered(answer(1, 0, 1, kept("v1/a")));
+    loop.advance(200);
+    round();
+    assertTrue(hub.fetches());
+    assertTrue(other.fetches());
+    long untilMs = other.stores.plan("v1", PROMPT).untilMs();
+    assertEquals(other.clock.at(untilMs), hub.clock.at(hub.stores.plan("v1", PROMPT).untilMs()));
+    loop.advance(PartStore.BELIEF_MS);
+    assertFalse(other.fetches());
+    assertTrue(other.wantedLists.isEmpty());
+  }
+
+  @Test
+  public void otherHubsHearOnlyWhatThisOneAskedItself() {
+    other.relay.heard(answer(1, 0, 1, kept("v1/a")));
+    other.relay.nextRound();
+    assertTrue(other.relay.news(Kind.GROUP).isEmpty());
+    assertEquals(other.relay.news(Kind.ALL).size(), 1);
+    hub.relay.answered(answer(1, 0, 1, kept("v1/a")));
+    hub.relay.nextRound();
+    assertEquals(hub.relay.news(Kind.GROUP).size(), 1);
+    assertTrue(hub.relay.news(Kind.OWN).isEmpty());
+    hub.relay.nextRound();
+    assertTrue(hub.relay.news(Kind.ALL).isEmpty(), "told again without anything new");
+  }
+
+  /** A lost message is made up for by the next; after a longer gap the store is asked for all. */
+  @Test
+  public void changesAreRepeatedForAWhile() {
+    hub.relay.answered(answer(1, 0, 0));
+    round();
+    hub.relay.answered(answer(1, 0, 1, kept("v1/a")));
+    hub.relay.nextRound();
+    loop.advance(300);
+    hub.relay.answered(answer(1, 1, 2, kept("v1/b")));
+    round();
+    assertTrue(other.fetches());
+    assertTrue(other.wantedLists.isEmpty());
+    hub.relay.answered(answer(1, 2, 3, kept("v1/c")));
+    hub.relay.nextRound();
+    loop.advance(2_000);
+    hub.relay.answered(answer(1, 3, 4, kept("v1/d")));
+    round();
+    assertEquals(other.wantedLists, List.of(ADDRESS));
+    hub.relay.answered(answer(1, 4, 6, kept("v1/e")));
+    round();
+    assertEquals(other.wantedLists, List.of(ADDRESS), "asked again at once");
+  }
+
+  @Test
+  public void newsOfAnEarlierStartSayNothing() {
+    StoreNews late = answer(1, 0, 1, kept("v1/a"));
+    loop.advance(500);
+    other.relay.heard(answer(2, 0, 0));
+    other.relay.heard(late);
+    assertFalse(other.fetches());
+  }
+
+  /** A list shows what a store never told; the VMs that rely on this one hear of it, too. */
+  @Test
+  public void whatAListShowsIsHandedOn() {
+    hub.relay.answered(answer(1, 0, 1));
+    round();
+    loop.advance(100);
+    hub.relay.listed(ADDRESS, 1, loop.millis(), 1, Map.of("v1/a", 500));
+    hub.relay.answered(answer(1, 1, 1));
+    round();
+    assertTrue(other.fetches());
+  }
+
+  /**
+   * Messages are lost, late by up to 1.5 s and overtake each other, the store starts anew: no fetch
+   * that may still run meets a part that is being written.
+   */
+  @Test
+  public void noFetchMeetsAPartThatIsBeingWritten() {
+    int fetches = 0;
+    for (int seed = 0; seed < 200; seed++) {
+      World world = new World(seed);
+      world.run();
+      fetches += world.fetches;
+    }
+    assertTrue(fetches > 5_000, "the world is too bad to show anything: " + fetches);
+  }
+
+  /** A store, a VM that asks it, and others that hear of it. */
+  private static final class World {
+    private static final int VMS = 4;
+    private static final int STEP_MS = 20;
+    private static final int STEPS = 600;
+    private static final int ROUND_STEPS = 5;
+    private static final int RESTART_MS = 1_000;
+
+    private final Random random;
+    private final ManualLoop loop = new ManualLoop();
+    private final List<Vm> vms = new ArrayList<>();
+    private final List<Change> changes = new ArrayList<>();
+    private long epoch = 1;
+    private long asked = -1;
+    private int known;
+    private boolean whole;
+    private long wholeAtMs = Long.MAX_VALUE;
+    private long fetchesUntilMs;
+    private long downUntilMs;
+    private long pollAtMs;
+    private int fetches;
+
+    World(int seed) {
+      random = new Random(seed);
+      for (int i = 0; i < VMS; i++) {
+        vms.add(new Vm(loop));
+      }
+    }
+
+    void run() {
+      for (int step = 0; step < STEPS; step++) {
+        loop.advance(STEP_MS);
+        liveOn();
+        poll();
+        if (step % ROUND_STEPS == 0) {
+          tell();
+        }
+        vms.forEach(this::request);
+      }
+    }
+
+    private void liveOn() {
+      if (loop.millis() >= wholeAtMs) {
+        whole = true;
+        wholeAtMs = Long.MAX_VALUE;
+        changes.add(kept("v1/a"));
+      }
+      if (random.nextInt(150) == 0) {
+        epoch++;
+        changes.clear();
+        whole = false;
+        wholeAtMs = Long.MAX_VALUE;
+        downUntilMs = loop.millis() + RESTART_MS + random.nextInt(1_000);
+      }
+    }
+
+    private void poll() {
+      if (loop.millis() < pollAtMs || loop.millis() < downUntilMs) {
+        return;
+      }
+      pollAtMs = loop.millis() + 150 + random.nextInt(100);
+      int from = asked == epoch ? known : 0;
+      StoreNews news =
+          new StoreNews(
+              ADDRESS,
+              epoch,
+              loop.millis() + AHEAD_MS,
+              from,
+              changes.size(),
+              List.copyOf(changes.subList(from, changes.size())));
+      asked = epoch;
+      known = changes.size();
+      loop.schedule(random.nextInt(100), () -> vms.get(0).relay.answered(news));
+    }
+
+    private void tell() {
+      PartRelay first = vms.get(0).relay;
+      first.nextRound();
+      List<StoreNews> news = first.news(Kind.ALL);
+      for (Vm vm : vms.subList(1, VMS)) {
+        if (random.nextInt(10) > 0) {
+          long delayMs = random.nextInt(20) == 0 ? random.nextInt(1_500) : random.nextInt(50);
+          loop.schedule(delayMs, () -> news.forEach(vm.relay::heard));
+        }
+      }
+    }
+
+    private void request(Vm vm) {
+      PartMoves moves = vm.stores.plan("v1", PROMPT);
+      if (moves.fetches()) {
+        fetches++;
+        long untilMs = vm.clock.at(moves.untilMs()).orElseThrow() - AHEAD_MS;
+        fetchesUntilMs = Math.max(fetchesUntilMs, untilMs);
+      }
+      boolean up = loop.millis() >= downUntilMs;
+      if (up && moves.saves() && !whole && wholeAtMs == Long.MAX_VALUE) {
+        assertTrue(
+            loop.millis() >= fetchesUntilMs,
+            "a write began " + (fetchesUntilMs - loop.millis()) + " ms before a fetch ended");
+        wholeAtMs = loop.millis() + 200;
+      }
+    }
+  }
+}
