--- a/tools/put-in-faults.py
+++ b/tools/put-in-faults.py
@@ -2,7 +2,8 @@
 """Puts the faults of faults.txt into a copy of the sources, one at a time, and runs the test that
 must find each. Prints a line a fault; ends with 1 if a test did not see its fault.
 
-Usage: tools/put-in-faults.py COPY   (COPY: a clone of this repository that may be changed)
+Usage: tools/put-in-faults.py COPY [WORD...]
+COPY is a clone of this repository that may be changed; with words only faults that name one of them.
 """
 import pathlib
 import subprocess
@@ -37,8 +38,11 @@
 
 def main():
     copy = pathlib.Path(sys.argv[1])
+    words = sys.argv[2:]
     missed = 0
     for rule, module, name, before, after, test in faults():
+        if words and not any(word in rule + " " + test for word in words):
+            continue
         path = copy / PACKAGES[module] / (name + ".java")
         text = path.read_text()
         if text.count(before) != 1:
