--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/PartRelayTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/PartRelayTest.java
@@ -154,8 +154,8 @@
   }
 
   /**
-   * Messages are lost, late by up to 1.5 s and overtake each other, the store starts anew: no fetch
-   * that may still run meets a part that is being written.
+   * Messages are lost, some links are full for a while, the store starts anew: no fetch that may
+   * still run meets a part that is being written.
    */
   @Test
   public void noFetchMeetsAPartThatIsBeingWritten() {
@@ -188,6 +188,10 @@
     private long fetchesUntilMs;
     private long downUntilMs;
     private long pollAtMs;
+
+    /** Until when a VM's link is full: what is sent to it comes three seconds late. */
+    private final long[] slowUntilMs = new long[VMS];
+
     private int fetches;
 
     World(int seed) {
@@ -247,10 +251,14 @@
       PartRelay first = vms.get(0).relay;
       first.nextRound();
       List<StoreNews> news = first.news(Kind.ALL);
-      for (Vm vm : vms.subList(1, VMS)) {
+      for (int i = 1; i < VMS; i++) {
+        if (random.nextInt(50) == 0) {
+          slowUntilMs[i] = loop.millis() + 4_000;
+        }
+        long delayMs = loop.millis() < slowUntilMs[i] ? 3_000 : random.nextInt(50);
+        PartRelay relay = vms.get(i).relay;
         if (random.nextInt(10) > 0) {
-          long delayMs = random.nextInt(20) == 0 ? random.nextInt(1_500) : random.nextInt(50);
-          loop.schedule(delayMs, () -> news.forEach(vm.relay::heard));
+          loop.schedule(delayMs, () -> news.forEach(relay::heard));
         }
       }
     }
