A process that starts again is heard by the others at once

Its news began at number 1 and were taken for late ones until the old process was forgotten, two seconds later; with hubs its hub would not have served it and been passed over for ten. Numbers begin at the time of day now. LoadExchangeTest failed before.

--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/LoadExchange.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/LoadExchange.java
@@ -22,6 +22,7 @@
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetSocketAddress;
+import java.time.Instant;
 import java.util.Arrays;
 import java.util.EnumMap;
 import java.util.List;
@@ -54,7 +55,12 @@
   private final StoreNewsBoard stores;
   private final Executor loop;
   private final DatagramSocket socket;
-  private long sequence;
+
+  /**
+   * Starts at the time of day, so that a process that starts again goes on above the one before.
+   */
+  private long sequence = Instant.now().toEpochMilli();
+
   private volatile boolean closed;
 
   /** Where news of stores come from and go to; used on the loop. */
--- /dev/null
+++ b/landingtrack/src/test/java/org/landingtrack/internal/loads/LoadExchangeTest.java
@@ -0,0 +1,115 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.loads;
+
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.landingtrack.internal.base.FakeTicker;
+import org.landingtrack.internal.loads.LoadNews.Kind;
+import org.landingtrack.internal.loads.LoadNews.Load;
+import org.landingtrack.internal.loads.LoadNews.Vm;
+import org.testng.annotations.Test;
+
+/** News over real datagrams. */
+public final class LoadExchangeTest {
+  private static final long LONGEST_S = 20;
+  private static final long PAUSE_MS = 5;
+  private static final long SERVER = 42;
+  private static final LoadExchange.StoreNewsBoard NO_STORES =
+      new LoadExchange.StoreNewsBoard() {
+        @Override
+        public List<StoreNews> news(Kind kind) {
+          return List.of();
+        }
+
+        @Override
+        public void nextRound() {}
+
+        @Override
+        public void heard(StoreNews news) {}
+      };
+
+  private final Object loop = new Object();
+  private final FakeTicker ticker = new FakeTicker();
+
+  private static Vm vm() throws IOException {
+    try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"))) {
+      return new Vm("127.0.0.1:" + socket.getLocalPort(), "dc-1", 36);
+    }
+  }
+
+  private LoadExchange exchange(PeerLoads peers, int running) throws IOException {
+    LoadExchange exchange =
+        new LoadExchange(
+            peers,
+            () -> List.of(new Load(SERVER, 0, running)),
+            NO_STORES,
+            task -> {
+              synchronized (loop) {
+                task.run();
+              }
+            });
+    exchange.start();
+    return exchange;
+  }
+
+  private boolean isToldSoon(LoadExchange sender, PeerLoads hearer, int running)
+      throws InterruptedException {
+    long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(LONGEST_S);
+    while (System.nanoTime() < endNs) {
+      synchronized (loop) {
+        sender.tell();
+      }
+      TimeUnit.MILLISECONDS.sleep(PAUSE_MS);
+      synchronized (loop) {
+        if (hearer.running(SERVER) == running) {
+          return true;
+        }
+      }
+    }
+    return false;
+  }
+
+  /** A process that starts again is believed at once, not only when its old news are forgotten. */
+  @Test
+  public void aProcessThatStartsAgainIsHeardAtOnce() throws Exception {
+    ticker.pass(100_000);
+    Vm first = vm();
+    Vm second = vm();
+    PeerLoads hearer = new PeerLoads(ticker, first);
+    try (LoadExchange hearing = exchange(hearer, 0)) {
+      PeerLoads before = new PeerLoads(ticker, second);
+      before.introduce(List.of(first.address()));
+      try (LoadExchange sender = exchange(before, 7)) {
+        assertTrue(isToldSoon(sender, hearer, 7));
+      }
+      PeerLoads after = new PeerLoads(ticker, second);
+      after.introduce(List.of(first.address()));
+      try (LoadExchange sender = exchange(after, 3)) {
+        synchronized (loop) {
+          sender.tell();
+        }
+        // One message only: later ones would pass the numbers of the process before.
+        assertTrue(isToldSoon(hearing, hearer, 3));
+      }
+    }
+  }
+}
