--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/RequestRunTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/RequestRunTest.java
@@ -319,4 +319,25 @@
     world.serve("/chat/x", ServingWorld.WALLED_KEY);
     assertTrue(world.transport.last().call.moves().fetches());
   }
+
+  @Test
+  public void anOlderConfigurationChangesNothing() {
+    world.state.configure(ServingWorld.config(3, "other"), 3);
+    world.state.configure(ServingWorld.config(2, "plain"), 4);
+    assertEquals(world.state.config().version(), 3);
+    RecordingSink sink = world.serve("/never/x");
+    assertEquals(sink.seen.toString(), "refused NO_BACKEND_SERVER");
+  }
+
+  /** A key that was taken away is refused from then on; what runs already goes on. */
+  @Test
+  public void aRevokedKeyIsRefusedAtOnce() {
+    RecordingSink before = world.serve("/never/x", ServingWorld.WALLED_KEY);
+    Team kept = new Team("team-1", false, -1);
+    world.state.configure(ServingWorld.config(2, "plain", Map.of(ServingWorld.KEY, kept)), 2);
+    RecordingSink after = world.serve("/never/x", ServingWorld.WALLED_KEY);
+    assertEquals(after.seen.toString(), "refused UNAUTHENTICATED");
+    world.transport.last().answer(200, "hello");
+    assertEquals(before.seen.toString(), "answer 200 hello");
+  }
 }
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/ServingWorld.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/ServingWorld.java
@@ -75,6 +75,12 @@
   }
 
   static ServingConfig config(long version, String plainService) {
+    Team open = new Team("team-1", false, -1);
+    Team walled = new Team("team-2", true, -1);
+    return config(version, plainService, Map.of(KEY, open, WALLED_KEY, walled));
+  }
+
+  static ServingConfig config(long version, String plainService, Map<String, Team> keys) {
     List<Route> routes = new ArrayList<>();
     routes.add(route("/never/", Repeat.NEVER, plainService, 1));
     routes.add(route("/safe/", Repeat.WHOLE, plainService, 2));
@@ -92,7 +98,7 @@
             new ServiceInfo("other", "/health", 100, null),
             "engines",
             new ServiceInfo("engines", "/health", 100, new EngineInfo(8, 10_000))),
-        Map.of(KEY, new Team("team-1", false, -1), WALLED_KEY, new Team("team-2", true, -1)),
+        keys,
         CallerLimits.DEFAULT,
         List.of(STORE));
   }
