--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/LoadExchange.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/LoadExchange.java
@@ -43,8 +43,8 @@
 public final class LoadExchange implements AutoCloseable {
   private static final Logger log = LoggerFactory.getLogger("loads");
 
-  /** The largest news of a hub: all loads and the changes of a dozen stores. */
-  private static final int MAX_BYTES = 16_000;
+  /** The largest datagram; a hub's news of a dozen stores with many changes have some 20 kB. */
+  private static final int MAX_BYTES = 65_507;
 
   private static final int MAX_LOADS = 90;
   private static final ObjectReader READER = MessagePack.MAPPER.readerFor(LoadNews.class);
@@ -66,7 +66,7 @@
   /** Where news of stores come from and go to; used on the loop. */
   public interface StoreNewsBoard {
     /**
-     * Returns what is new since the last call.
+     * Returns what was new when the round began.
      *
      * @param kind the kind of the message: other hubs are told only what this VM asked itself
      */
