Of two changes of a part in one message the last counts

Found in reading the diff: a hub's news named each part once and kept the earlier change, so a part that became whole and went within 0.7 s was handed on as whole.

--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/PartRelay.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/PartRelay.java
@@ -18,6 +18,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -216,13 +217,10 @@
     int size = store.recent.size();
     List<Recent> told = store.recent.subList(Math.max(0, size - MAX_CHANGES), size);
     long from = store.next;
-    Set<String> keys = new HashSet<>();
-    List<Change> changes = new ArrayList<>();
+    Map<String, Change> lastByKey = new LinkedHashMap<>();
     for (Recent each : told) {
       from = Math.min(from, each.from());
-      if (keys.add(each.change().key())) {
-        changes.add(each.change());
-      }
+      lastByKey.put(each.change().key(), each.change());
     }
     @Nullable Recent oldest = size > MAX_CHANGES ? told.get(0) : null;
     return new StoreNews(
@@ -231,6 +229,6 @@
         store.serversMs,
         oldest == null ? from : oldest.from(),
         store.next,
-        changes);
+        List.copyOf(lastByKey.values()));
   }
 }
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/PartRelayTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/PartRelayTest.java
@@ -132,6 +132,15 @@
     assertEquals(other.wantedLists, List.of(ADDRESS), "asked again at once");
   }
 
+  @Test
+  public void ofTwoChangesOfAPartTheLastCounts() {
+    hub.relay.answered(answer(1, 0, 1, kept("v1/a")));
+    hub.relay.answered(answer(1, 1, 2, new Change(false, "v1/a", 0)));
+    round();
+    assertFalse(hub.fetches());
+    assertFalse(other.fetches());
+  }
+
   @Test
   public void newsOfAnEarlierStartSayNothing() {
     StoreNews late = answer(1, 0, 1, kept("v1/a"));
