Engines tell what they keep; kept state comes from engines too; requests wait here, not in an engine's queue

A request that waits in an engine's queue for longer than its fetch may take (belief in a store lasts 0.9 s) reads all of its prompt, which makes the queue longer.

Bytes a token and links come from the configuration.

--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/LoadNews.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/LoadNews.java
@@ -70,16 +70,22 @@
   public record Sighting(Vm vm, long agoMs) {}
 
   /**
-   * Requests at one server.
+   * Work at one server or store of prompt parts.
    *
-   * @param server hash of the id of the server's start
+   * @param server hash of the id of the server's start, or of the store's address
    * @param pendingTokens prompt tokens that the server has yet to read
+   * @param running requests, or moves at a store
+   * @param movingMs how long moves of kept state keep its link busy
    */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-  public record Load(long server, long pendingTokens, int running) {
+  public record Load(long server, long pendingTokens, int running, long movingMs) {
     /** Returns the sum of two loads of one server. */
     Load plus(Load other) {
-      return new Load(server, pendingTokens + other.pendingTokens, running + other.running);
+      return new Load(
+          server,
+          pendingTokens + other.pendingTokens,
+          running + other.running,
+          movingMs + other.movingMs);
     }
 
     /** Returns this load without another one, and never less than nothing. */
@@ -87,7 +93,8 @@
       return new Load(
           server,
           Math.max(0, pendingTokens - other.pendingTokens),
-          Math.max(0, running - other.running));
+          Math.max(0, running - other.running),
+          Math.max(0, movingMs - other.movingMs));
     }
   }
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/PeerLoads.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/PeerLoads.java
@@ -275,4 +275,10 @@
     Load load = totals.get(server);
     return load == null ? 0 : load.running();
   }
+
+  /** Returns how long moves of other VMs keep a server's or a store's link busy. */
+  public long movingMs(long server) {
+    Load load = totals.get(server);
+    return load == null ? 0 : load.movingMs();
+  }
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/Attempt.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/Attempt.java
@@ -22,6 +22,7 @@
 import org.landingtrack.internal.serving.BackendTransport.NotRunReason;
 import org.landingtrack.internal.serving.BackendTransport.StreamEvent;
 import org.landingtrack.internal.serving.SendPlanner.SendPlan;
+import org.landingtrack.internal.serving.ServerChooser.Choice;
 
 /**
  * One send to one backend server. It keeps the account of what the server has under way, and tells
@@ -31,6 +32,7 @@
   private final CallerRequest request;
   private final SendPlan plan;
   private final PartStores parts;
+  private final EventLoop loop;
   private final Outcome outcome;
   private final long missingTokens;
   private @Nullable Exchange exchange;
@@ -55,7 +57,8 @@
     void broken(Attempt sent, String why);
   }
 
-  Attempt(CallerRequest request, SendPlan plan, PartStores parts, Outcome outcome) {
+  Attempt(CallerRequest request, SendPlan plan, PartStores parts, EventLoop loop, Outcome outcome) {
+    this.loop = loop;
     this.request = request;
     this.plan = plan;
     this.parts = parts;
@@ -64,15 +67,35 @@
     this.missingTokens =
         prompt == null || plan.cacheTokens() == 0
             ? 0
-            : Math.max(0, prompt.tokens() - plan.keptTokens());
+            : Math.max(0, prompt.tokens() - plan.keptOrFetchedTokens());
   }
 
   /** Sends the request. */
   void start(BackendTransport transport, BackendCall call) {
     plan.backend().sent(missingTokens);
+    noteSent();
     exchange = transport.send(call, this);
   }
 
+  /** Only engines are timed: what a plain server's answer takes is its own work. */
+  private void noteSent() {
+    Prompt prompt = request.prompt();
+    if (prompt == null || plan.cacheTokens() == 0) {
+      return;
+    }
+    Choice choice = plan.choice();
+    plan.backend().kept().sent(plan.scope(), prompt, loop.millis());
+    plan.backend()
+        .timing()
+        .sent(
+            this,
+            choice.expectedMs(),
+            (int) missingTokens,
+            choice.expectedMs() - choice.readMs(),
+            choice.alone(),
+            loop.millis());
+  }
+
   Backend backend() {
     return plan.backend();
   }
@@ -93,7 +116,7 @@
     plan.backend().succeeded();
     Prompt prompt = request.prompt();
     if (prompt != null && plan.cacheTokens() > 0) {
-      plan.backend().keeps(plan.scope(), prompt, plan.cacheTokens());
+      plan.backend().kept().read(plan.scope(), prompt, plan.cacheTokens());
     }
   }
 
@@ -112,6 +135,7 @@
       return false;
     }
     over = true;
+    plan.backend().timing().ended(this, loop.millis());
     endPrefill();
     plan.backend().finished();
     return true;
@@ -123,10 +147,8 @@
     }
     prefilling = false;
     plan.backend().prefilled(missingTokens);
-    Prompt prompt = request.prompt();
-    if (prompt != null) {
-      parts.fetched(prompt, plan.moves());
-    }
+    plan.backend().backlog().over(request);
+    parts.fetched(request);
   }
 
   @Override
@@ -157,6 +179,7 @@
     if (over) {
       return;
     }
+    plan.backend().timing().first(this, loop.millis());
     endPrefill();
     outcome.event(event);
   }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/Backend.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/Backend.java
@@ -16,9 +16,9 @@
 package org.landingtrack.internal.serving;
 
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import org.landingtrack.internal.base.Hashes;
+import org.landingtrack.internal.loads.PeerLoads;
 
 /**
  * A backend server with what this VM has seen of it: requests under way, failures, and which parts
@@ -34,9 +34,6 @@
   /** How long a server that was full or loading is passed over if there are others. */
   private static final long REFUSED_MS = 150;
 
-  /** Share of an engine's memory that parts which this VM sent are assumed to keep. */
-  private static final double KEPT_SHARE = 0.3;
-
   private ServerEntry entry;
   private final long idHash;
   private long goneAtMs = Long.MAX_VALUE;
@@ -48,8 +45,10 @@
   private int ejections;
   private long ejectedUntilMs;
   private long refusedUntilMs;
-  private long keptTokens;
-  private final Map<String, Integer> kept = new LinkedHashMap<>(16, 0.75f, true);
+  private boolean silent;
+  private final KeptParts kept = new KeptParts();
+  private final EngineTiming timing = new EngineTiming();
+  private final LinkBacklog backlog = new LinkBacklog();
 
   Backend(ServerEntry entry, long nowMs) {
     this.entry = entry;
@@ -160,35 +159,46 @@
     }
   }
 
-  /** Returns how many leading tokens of a prompt the server probably keeps. */
-  int keptTokens(String scope, Prompt prompt) {
-    int sum = 0;
-    for (Prompt.Part part : prompt.parts()) {
-      if (!kept.containsKey(scope + '/' + part.key())) {
-        break;
-      }
-      sum += part.tokens();
-    }
-    return sum;
+  /** Returns which parts of prompts the server probably keeps. */
+  KeptParts kept() {
+    return kept;
   }
 
-  /** Notes that the server read a prompt. */
-  void keeps(String scope, Prompt prompt, int cacheTokens) {
-    for (Prompt.Part part : prompt.parts()) {
-      Integer before = kept.put(scope + '/' + part.key(), part.tokens());
-      keptTokens += part.tokens() - (before == null ? 0 : before);
-    }
-    long limit = (long) (cacheTokens * KEPT_SHARE);
-    var eldest = kept.entrySet().iterator();
-    while (keptTokens > limit && eldest.hasNext()) {
-      keptTokens -= eldest.next().getValue();
-      eldest.remove();
-    }
+  /** Returns how quickly the server answers, if it is an engine. */
+  EngineTiming timing() {
+    return timing;
+  }
+
+  /** Returns the fetches that this VM ordered over the server's link. */
+  LinkBacklog backlog() {
+    return backlog;
+  }
+
+  /** Returns how long the server's link is busy with the known fetches of all VMs. */
+  double backlogMs(long nowMs, PeerLoads peerLoads) {
+    return backlog.ms(nowMs) + peerLoads.movingMs(idHash);
+  }
+
+  double msPerToken() {
+    return timing.msPerToken();
+  }
+
+  /** Notes that the server does not answer what it is asked all the time. */
+  void fellSilent() {
+    silent = true;
+  }
+
+  /** Notes that the server answers. */
+  void spoke() {
+    silent = false;
+  }
+
+  boolean isSilent() {
+    return silent;
   }
 
-  /** Forgets all parts, after the server's weights changed. */
+  /** Forgets what is guessed to be kept, after the server's weights changed. */
   void forgetParts() {
-    kept.clear();
-    keptTokens = 0;
+    kept.weightsChanged();
   }
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/DecisionLog.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/DecisionLog.java
@@ -29,9 +29,12 @@
    * @param attempt counts the sends of the request, from 1
    * @param candidates servers that could have had it
    * @param costMs the expected time until it starts to answer, with what it costs others
-   * @param pendingTokens prompt tokens that the server has to read for this VM's requests
+   * @param expectedMs the expected time until it starts to answer
+   * @param pendingTokens prompt tokens that the server has to read, as far as this VM knows
+   * @param lagMs by how much the server's answers come later than known work explains
    * @param promptTokens tokens of the prompt
-   * @param keptTokens those that are probably kept by the server or fetched
+   * @param keptTokens leading ones that are probably kept by the server
+   * @param fetchedTokens those after them that it fetches
    * @param moves parts that are fetched and saved
    * @param configVersion the configuration that named the service
    */
@@ -41,9 +44,12 @@
       int attempt,
       int candidates,
       double costMs,
+      double expectedMs,
       long pendingTokens,
+      double lagMs,
       int promptTokens,
       int keptTokens,
+      int fetchedTokens,
       PartMoves moves,
       long weights,
       long configVersion) {}
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/PartStore.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/PartStore.java
@@ -18,6 +18,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.landingtrack.internal.base.Hashes;
+import org.landingtrack.internal.serving.ServiceInfo.EngineInfo;
 
 /**
  * What this VM knows of one store of prompt parts. The store frees nothing by itself, so a part
@@ -41,10 +42,8 @@
   /** A part whose saving was ordered is not ordered again for so long. */
   private static final long SAVE_AGAIN_MS = 3_000;
 
-  private static final double MEGABIT_BYTES = 125_000;
-
-  /** Fetches of all VMs at a store for each one of this VM; the true number is not known here. */
-  private static final double OTHERS_FACTOR = 2;
+  static final double MEGABIT_BYTES = 125_000;
+  static final double MS_PER_SECOND = 1_000;
 
   /** Share of the room that is filled; parts that broke off take room that is not seen. */
   private static final double FULL_SHARE = 0.97;
@@ -54,14 +53,19 @@
   private final Map<String, Integer> whole = new HashMap<>();
   private final Map<String, Long> savingSinceMs = new HashMap<>();
   private long heldTokens;
-  private long fetchingTokens;
+  private final LinkBacklog backlog = new LinkBacklog();
   private long epoch = -1;
   private long confirmedAtMs = Long.MIN_VALUE / 2;
   private long savesFromMs = Long.MIN_VALUE / 2;
 
   /** A store as configured. */
   public record StoreInfo(
-      String name, String address, String dataCentre, long capacityTokens, double linkMbps) {}
+      String name,
+      String address,
+      String dataCentre,
+      long capacityTokens,
+      double linkMbps,
+      double firstMs) {}
 
   PartStore(StoreInfo info) {
     this.info = info;
@@ -127,20 +131,18 @@
     return whole.containsKey(key) && fetchUntilMs() - nowMs >= MIN_FETCH_MS;
   }
 
-  /** Notes a fetch that this VM ordered. */
-  void fetching(int tokens) {
-    fetchingTokens += tokens;
-  }
-
-  /** Notes that an ordered fetch is over, or that its request is. */
-  void fetched(int tokens) {
-    fetchingTokens = Math.max(0, fetchingTokens - tokens);
+  /** Returns the moves that this VM ordered over the store's link. */
+  LinkBacklog backlog() {
+    return backlog;
   }
 
-  /** Returns the expected time of a fetch, behind those that this VM knows of. */
-  double fetchMs(int tokens, double bytesPerToken) {
-    double bytesPerMs = info.linkMbps() * MEGABIT_BYTES / 1_000;
-    return (fetchingTokens * OTHERS_FACTOR + tokens) * bytesPerToken / bytesPerMs;
+  /** Returns how long a move between an engine and this store keeps both links busy. */
+  double linkMs(int tokens, EngineInfo engine, String engineDataCentre) {
+    double mbps = Math.min(engine.linkMbps(), info.linkMbps());
+    double bytesPerMs = mbps * MEGABIT_BYTES / MS_PER_SECOND;
+    boolean near = info.dataCentre().equals(engineDataCentre);
+    double factor = near ? 1 : PartSources.OTHER_DATA_CENTRE_FACTOR;
+    return tokens * factor * engine.tokenBytes() / bytesPerMs;
   }
 
   boolean holds(String key) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/PartStores.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/PartStores.java
@@ -17,35 +17,35 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
 import org.landingtrack.internal.base.Hashes;
+import org.landingtrack.internal.loads.LoadNews.Load;
+import org.landingtrack.internal.loads.PeerLoads;
 import org.landingtrack.internal.serving.PartStore.StoreInfo;
+import org.landingtrack.internal.serving.ServiceInfo.EngineInfo;
 
 /** The stores of prompt parts: what may be fetched from where, and what is saved where. */
 public final class PartStores {
   /** Parts of fewer tokens than this are quicker read than moved. */
   private static final int MIN_TOKENS = 64;
 
-  /** Bytes of a token's state until a service tells its own. */
-  private static final double BYTES_PER_TOKEN = 18_432;
+  /** Engines give up a move that would wait for two seconds; half of that keeps clear of it. */
+  private static final double MAX_SAVE_WAIT_MS = 1_000;
 
-  /** A fetch may take so many times as long as reading, since reading keeps an engine busy. */
-  private static final double FETCH_PATIENCE = 1.5;
-
-  /** Longer parts than this go to the largest stores, but for a prompt's first one. */
-  private static final int LONG_TOKENS = 1_000;
+  /** The owner of all saves: no answer tells of their end. */
+  private static final Object SAVES = new Object();
 
   private final EventLoop loop;
+  private final PeerLoads peerLoads;
   private final Map<String, PartStore> byAddress = new HashMap<>();
-  private List<PartStore> fastest = List.of();
-  private List<PartStore> largest = List.of();
 
-  public PartStores(EventLoop loop) {
+  /** Creates a view of no store; {@code peerLoads} tells what other VMs move. */
+  public PartStores(EventLoop loop, PeerLoads peerLoads) {
     this.loop = loop;
+    this.peerLoads = peerLoads;
   }
 
   /** Takes the stores of a configuration; returns those that are new. */
@@ -61,27 +61,9 @@
       }
       byAddress.put(info.address(), known);
     }
-    Comparator<PartStore> bySpeed = Comparator.comparingDouble(store -> -store.info().linkMbps());
-    Comparator<PartStore> bySize =
-        Comparator.comparingLong(store -> -store.info().capacityTokens());
-    fastest = first(bySpeed);
-    largest = first(bySize);
     return added;
   }
 
-  /** Returns the stores that are equal in what counts, the best first. */
-  private List<PartStore> first(Comparator<PartStore> order) {
-    List<PartStore> all = new ArrayList<>(byAddress.values());
-    all.sort(order.thenComparing(store -> store.info().address()));
-    List<PartStore> best = new ArrayList<>();
-    for (PartStore store : all) {
-      if (best.isEmpty() || order.compare(best.get(0), store) == 0) {
-        best.add(store);
-      }
-    }
-    return best;
-  }
-
   /** Returns a store by its address, or null if the configuration lacks it. */
   @Nullable PartStore find(String address) {
     return byAddress.get(address);
@@ -111,102 +93,97 @@
     removed.forEach(store::removed);
   }
 
-  /** Returns how many leading tokens of a prompt, from a first part on, can be fetched. */
-  int fetchableTokens(String scope, Prompt prompt) {
-    int sum = 0;
-    long now = loop.millis();
-    for (Prompt.Part part : prompt.parts()) {
-      if (source(key(scope, part), now) == null) {
-        break;
+  /** Returns the stores from which a part can be fetched. */
+  List<PartStore> holding(String scope, Prompt.Part part, long now) {
+    String key = key(scope, part);
+    List<PartStore> holding = new ArrayList<>();
+    for (PartStore store : byAddress.values()) {
+      if (store.canFetch(key, now)) {
+        holding.add(store);
       }
-      sum += part.tokens();
     }
-    return sum;
+    return holding;
   }
 
-  /** Plans the moves of a prompt's shared parts, and notes what is saved. */
-  PartMoves plan(String scope, Prompt prompt) {
+  /**
+   * Returns where the shared parts of a prompt are saved that no store has, and notes that. A part
+   * goes where it is soonest there and there is room.
+   *
+   * @param engine the engine that will have them
+   */
+  List<String> save(String scope, Prompt prompt, EngineInfo info, Backend engine) {
     long now = loop.millis();
-    long untilMs = Long.MAX_VALUE;
-    List<String> fetch = new ArrayList<>();
     List<String> save = new ArrayList<>();
     int shared = prompt.parts().size() - 1;
     for (int i = 0; i < prompt.parts().size(); i++) {
       Prompt.Part part = prompt.parts().get(i);
-      String key = key(scope, part);
-      PartStore source = i < shared ? source(key, now) : null;
-      if (source != null && !isWorthFetching(source, part.tokens())) {
-        fetch.add("");
-        save.add("");
-        continue;
-      }
-      if (source != null) {
-        source.fetching(part.tokens());
-        fetch.add(source.info().address());
-        save.add("");
-        untilMs = Math.min(untilMs, source.fetchUntilMs());
-        continue;
-      }
-      fetch.add("");
-      PartStore target = i < shared ? target(key, part, i, now) : null;
+      boolean isKept = i >= shared || !holding(scope, part, now).isEmpty();
+      PartStore target =
+          isKept ? null : target(scope, part, info, engine.entry().dataCentre(), now);
       save.add(target == null ? "" : target.info().address());
       if (target != null) {
-        target.saving(key, now);
+        target.saving(key(scope, part), now);
+        double linkMs = target.linkMs(part.tokens(), info, engine.entry().dataCentre());
+        double endsInMs = part.tokens() * engine.msPerToken() + backlogMs(target) + linkMs;
+        target.backlog().add(SAVES, linkMs, endsInMs, now);
+        engine.backlog().add(SAVES, linkMs, endsInMs, now);
       }
     }
-    return new PartMoves(fetch, save, untilMs);
-  }
-
-  /** Where a store is slow, fetches pile up, and reading is quicker. */
-  private static boolean isWorthFetching(PartStore store, int tokens) {
-    double readMs = tokens * ServerChooser.MS_PER_TOKEN;
-    return store.fetchMs(tokens, BYTES_PER_TOKEN) <= readMs * FETCH_PATIENCE;
+    return save;
   }
 
-  /** Notes that the planned fetches of a prompt are over. */
-  void fetched(Prompt prompt, PartMoves moves) {
-    for (int i = 0; i < moves.fetch().size(); i++) {
-      PartStore store = byAddress.get(moves.fetch().get(i));
-      if (store != null) {
-        store.fetched(prompt.parts().get(i).tokens());
+  /** Returns what this VM moves over the links of stores, as other VMs are told. */
+  List<Load> ownLoads() {
+    long now = loop.millis();
+    List<Load> loads = new ArrayList<>();
+    for (PartStore store : byAddress.values()) {
+      long ms = (long) store.backlog().ms(now);
+      if (ms > 0) {
+        loads.add(new Load(store.addressHash(), 0, store.backlog().size(), ms));
       }
     }
+    return loads;
   }
 
-  private @Nullable PartStore source(String key, long now) {
+  /** Notes that the fetches of a request are over. */
+  void fetched(Object request) {
     for (PartStore store : byAddress.values()) {
-      if (store.canFetch(key, now)) {
-        return store;
-      }
+      store.backlog().over(request);
     }
-    return null;
   }
 
-  private @Nullable PartStore target(String key, Prompt.Part part, int index, long now) {
+  /** Returns how long a store's link is busy with the known moves of all VMs, in milliseconds. */
+  double backlogMs(PartStore store) {
+    return store.backlog().ms(loop.millis()) + peerLoads.movingMs(store.addressHash());
+  }
+
+  private @Nullable PartStore target(
+      String scope, Prompt.Part part, EngineInfo info, String dataCentre, long now) {
     if (part.tokens() < MIN_TOKENS) {
       return null;
     }
-    boolean isLong = index > 0 && part.tokens() > LONG_TOKENS;
-    PartStore preferred = home(isLong ? largest : fastest, part);
-    if (preferred == null || preferred.holds(key)) {
-      return null;
-    }
-    return preferred.canSave(key, part.tokens(), now) ? preferred : null;
-  }
-
-  /** Returns the store where a part belongs; every VM finds the same one. */
-  private static @Nullable PartStore home(List<PartStore> stores, Prompt.Part part) {
+    String key = key(scope, part);
     long hash = Hashes.placement(part.key());
     PartStore best = null;
-    for (PartStore store : stores) {
-      if (best == null
-          || Hashes.weight(hash, store.addressHash()) > Hashes.weight(hash, best.addressHash())) {
+    double bestMs = MAX_SAVE_WAIT_MS;
+    for (PartStore store : byAddress.values()) {
+      double ms = backlogMs(store) + store.linkMs(part.tokens(), info, dataCentre);
+      boolean better =
+          ms < bestMs || (ms == bestMs && best != null && isPreferred(hash, store, best));
+      if (better && store.canSave(key, part.tokens(), now)) {
+        bestMs = ms;
         best = store;
       }
     }
     return best;
   }
 
+  /** Equal stores share the parts evenly. */
+  private static boolean isPreferred(long partHash, PartStore store, PartStore other) {
+    return Hashes.weight(partHash, store.addressHash())
+        > Hashes.weight(partHash, other.addressHash());
+  }
+
   static String key(String scope, Prompt.Part part) {
     return scope + '/' + part.key();
   }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
@@ -41,6 +41,12 @@
   /** Less time than this is not worth another send. */
   private static final long MIN_LEFT_MS = 20;
 
+  /**
+   * A request is not sent to an engine that would begin it later than this: fetches must end within
+   * {@link PartStore#BELIEF_MS}, and there they take some hundred milliseconds.
+   */
+  private static final long MAX_ENGINE_WAIT_MS = 250;
+
   /** When a caller should come back after a refusal for lack of a server. */
   private static final long RETRY_AFTER_MS = 250;
 
@@ -129,6 +135,13 @@
     send();
   }
 
+  /** Sends a request that waits, if a server can begin it soon. */
+  void tryNow() {
+    if (!done && attempt == null) {
+      send();
+    }
+  }
+
   private void send() {
     SendPlanner current = planner;
     if (done || current == null) {
@@ -139,11 +152,17 @@
       failWithout("no usable server of " + service);
       return;
     }
+    if (plan.cacheTokens() > 0 && plan.choice().waitMs() > MAX_ENGINE_WAIT_MS) {
+      serving.waiting().add(this, Math.max(0, plan.priority()));
+      return;
+    }
+    serving.waiting().remove(this);
     Backend backend = plan.backend();
+    PartMoves moves = current.moves(plan);
     sends++;
     tried.add(backend.entry().id());
-    serving.log().routed(this, facts(plan));
-    Attempt next = new Attempt(request, plan, serving.state().parts(), answers);
+    serving.log().routed(this, facts(plan, moves));
+    Attempt next = new Attempt(request, plan, serving.state().parts(), loop, answers);
     attempt = next;
     next.start(
         serving.transport(),
@@ -156,12 +175,12 @@
             team == null ? null : team.name(),
             plan.priority(),
             plan.scope(),
-            plan.moves(),
+            moves,
             plan.weights() > 0 ? OptionalLong.of(plan.weights()) : OptionalLong.empty(),
             lastEventId));
   }
 
-  private RouteFacts facts(SendPlan plan) {
+  private RouteFacts facts(SendPlan plan, PartMoves moves) {
     ServingConfig config = serving.state().config();
     Prompt prompt = request.prompt();
     return new RouteFacts(
@@ -169,11 +188,15 @@
         ageMs(),
         sends,
         plan.candidates(),
-        plan.costMs(),
-        plan.backend().pendingTokens(),
+        plan.choice().costMs(),
+        plan.choice().expectedMs(),
+        plan.backend().pendingTokens()
+            + serving.state().peerLoads().pendingTokens(plan.backend().idHash()),
+        plan.backend().timing().lagMs(loop.millis()),
         prompt == null ? 0 : prompt.tokens(),
-        plan.keptTokens(),
-        plan.moves(),
+        plan.choice().keptTokens(),
+        plan.choice().fetchedTokens(),
+        moves,
         plan.weights(),
         config == null ? 0 : config.version());
   }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/SendPlanner.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/SendPlanner.java
@@ -16,11 +16,16 @@
 package org.landingtrack.internal.serving;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Objects;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 import org.landingtrack.internal.base.Hashes;
+import org.landingtrack.internal.serving.PartSources.Fetch;
 import org.landingtrack.internal.serving.ServerChooser.Choice;
 
 /**
@@ -40,21 +45,28 @@
    * Where a send goes.
    *
    * @param candidates servers that could have had it
-   * @param keptTokens tokens of the prompt that the server probably keeps or fetches
-   * @param costMs the expected time until the answer starts
+   * @param choice the server, with what decided
    * @param priority what the server is told, or less than 0 for nothing
    * @param weights the version that the server must have, or 0 where it does not matter
+   * @param sources who keeps the parts of the prompt, or null if there are none
    */
   record SendPlan(
-      Backend backend,
+      Choice choice,
       ServiceInfo info,
       int candidates,
-      int keptTokens,
-      double costMs,
       int priority,
       long weights,
       String scope,
-      PartMoves moves) {
+      @Nullable PartSources sources) {
+
+    Backend backend() {
+      return choice.backend();
+    }
+
+    /** Returns the tokens of the prompt that the server probably keeps or fetches. */
+    int keptOrFetchedTokens() {
+      return choice.keptTokens() + choice.fetchedTokens();
+    }
 
     /** Returns the tokens for which an engine has room; 0 where the server is no engine. */
     int cacheTokens() {
@@ -83,37 +95,46 @@
     List<Backend> usable = state.servers().usable(service, tried);
     List<Backend> recent = recentEnough(usable, oldestWeights());
     boolean gamble = recent.isEmpty() && !usable.isEmpty();
-    Choice choice = ServerChooser.choose(gamble ? usable : recent, query(info));
+    Map<String, PartSources> sources = new HashMap<>();
+    Choice choice =
+        ServerChooser.choose(
+            gamble ? usable : recent, query(info, scope -> sources(sources, scope, info)));
     if (choice == null) {
       return null;
     }
     long weights = weightsOf(choice.backend(), gamble);
     String scope = scope(weights);
     return new SendPlan(
-        choice.backend(),
-        info,
-        usable.size(),
-        choice.keptTokens(),
-        choice.costMs(),
-        priority(info),
-        weights,
+        choice, info, usable.size(), priority(info), weights, scope, sources.get(scope));
+  }
+
+  private PartSources sources(Map<String, PartSources> known, String scope, ServiceInfo info) {
+    return known.computeIfAbsent(
         scope,
-        moves(info, scope, weights));
+        name ->
+            new PartSources(
+                name,
+                Objects.requireNonNull(request.prompt()),
+                Objects.requireNonNull(info.engine()),
+                state.parts(),
+                state.servers().all(service),
+                state.peerLoads(),
+                loop.millis()));
   }
 
-  private ServerChooser.Query query(ServiceInfo info) {
+  private ServerChooser.Query query(ServiceInfo info, Function<String, PartSources> sources) {
     Prompt prompt = request.prompt();
     return new ServerChooser.Query(
-        service,
         options.dataCentre(),
         info.engine(),
         info.engine() == null ? null : prompt,
         this::scope,
-        state.parts(),
+        sources,
         state.peerLoads(),
         newestWeights(),
         state::rolloutTurn,
         Hashes.placement(request.splitKey()),
+        Math.max(0, route.targetLatencyMs() - (loop.millis() - request.receivedAtMs())),
         loop.millis());
   }
 
@@ -141,13 +162,18 @@
     return gamble ? newestWeights().orElse(0) : backend.weights(prompt.model());
   }
 
-  /** Parts are moved only under a version that the server must have. */
-  private PartMoves moves(ServiceInfo info, String scope, long weights) {
-    Prompt prompt = request.prompt();
-    if (prompt == null || info.engine() == null || weights == 0) {
+  /**
+   * Returns the moves of a send that now begins, and notes them. Parts are moved only under a
+   * version that the server must have, and was chosen with.
+   */
+  PartMoves moves(SendPlan plan) {
+    Choice choice = plan.choice();
+    Fetch fetch = choice.fetch();
+    PartSources sources = plan.sources();
+    if (fetch == null || sources == null || plan.weights() == 0) {
       return PartMoves.NONE;
     }
-    return state.parts().plan(scope, prompt);
+    return sources.moves(request, choice.backend(), fetch, choice.keptTokens());
   }
 
   OptionalLong newestWeights() {
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerBook.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerBook.java
@@ -140,6 +140,17 @@
     return forgotten;
   }
 
+  /** Returns the engines that may get requests: servers with weights that do not leave. */
+  public List<ServerEntry> engines() {
+    List<ServerEntry> engines = new ArrayList<>();
+    for (ServerEntry entry : entries()) {
+      if (!entry.leaving() && !entry.weightVersions().isEmpty()) {
+        engines.add(entry);
+      }
+    }
+    return engines;
+  }
+
   /** Returns the entries that are not gone. */
   public List<ServerEntry> entries() {
     List<ServerEntry> entries = new ArrayList<>();
@@ -156,7 +167,9 @@
     List<Load> loads = new ArrayList<>();
     for (Backend backend : backends.values()) {
       if (backend.inFlight() > 0) {
-        loads.add(new Load(backend.idHash(), backend.pendingTokens(), backend.inFlight()));
+        long movingMs = (long) backend.backlog().ms(loop.millis());
+        loads.add(
+            new Load(backend.idHash(), backend.pendingTokens(), backend.inFlight(), movingMs));
       }
     }
     return loads;
@@ -166,6 +179,11 @@
     return backends.get(id);
   }
 
+  /** Returns all servers of a service, sound or not. */
+  List<Backend> all(String service) {
+    return byService.getOrDefault(service, List.of());
+  }
+
   /** Returns the servers of a service that may get a request now, the sound ones if there are. */
   List<Backend> usable(String service, Set<String> excluded) {
     long now = loop.millis();
@@ -182,7 +200,7 @@
         }
         continue;
       }
-      if (backend.isEjected(now)) {
+      if (backend.isEjected(now) || backend.isSilent()) {
         doubtful.add(backend);
         continue;
       }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerChooser.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerChooser.java
@@ -17,11 +17,13 @@
 
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.function.Function;
 import java.util.function.LongFunction;
 import java.util.function.ToDoubleFunction;
 import org.jspecify.annotations.Nullable;
 import org.landingtrack.internal.base.Hashes;
 import org.landingtrack.internal.loads.PeerLoads;
+import org.landingtrack.internal.serving.PartSources.Fetch;
 import org.landingtrack.internal.serving.ServiceInfo.EngineInfo;
 
 /**
@@ -29,15 +31,6 @@
  * reading what is not kept counts as time. Pure but for the order of the candidates.
  */
 final class ServerChooser {
-  /** Time to read one prompt token on an idle engine; from the engines' data sheet. */
-  static final double MS_PER_TOKEN = 1 / 56.9;
-
-  /** Time to move one token from a store: 18 kB over a link of 29 Gbit/s, twice between zones. */
-  private static final double MS_PER_FETCHED_TOKEN = 0.007;
-
-  /** What a fetch takes before its first byte comes. */
-  private static final double FIRST_FETCH_MS = 6;
-
   /** What a request in another data centre costs more, in milliseconds of waiting. */
   private static final double OTHER_DATA_CENTRE_MS = 12;
 
@@ -50,6 +43,15 @@
   /** Share of the shared parts that the prompt's home server is assumed to keep unseen. */
   private static final double HOME_KEPT = 0.5;
 
+  /** VMs that send a prompt nobody keeps at the same time should meet at its home. */
+  private static final double NOT_HOME_MS = 10;
+
+  /** What is fetched takes the room of other parts, which cost as much again to bring back. */
+  private static final double DISPLACED_SHARE = 0.4;
+
+  /** A fetch may take this share of the time that is left of the route's target. */
+  private static final double TARGET_SHARE = 0.4;
+
   /** Passing over a server that refused lately is worth so much waiting. */
   private static final double REFUSED_MS = 400;
 
@@ -72,20 +74,42 @@
 
   /** What is known of a request. */
   record Query(
-      String service,
       String dataCentre,
       @Nullable EngineInfo engine,
       @Nullable Prompt prompt,
       LongFunction<String> scope,
-      PartStores parts,
+      Function<String, PartSources> sources,
       PeerLoads peerLoads,
       OptionalLong newestWeights,
       ToDoubleFunction<String> rolloutTurn,
       long keyHash,
+      double targetLeftMs,
       long nowMs) {}
 
-  /** A chosen server with what decided. */
-  record Choice(Backend backend, int keptTokens, double costMs) {}
+  /**
+   * A chosen server with what decided.
+   *
+   * @param keptTokens leading tokens of the prompt that the server probably keeps
+   * @param fetch what it fetches, or null for a server that is no engine
+   * @param waitMs the time until it begins
+   * @param expectedMs the time until its first event
+   * @param readMs the part of that which is reading
+   * @param alone true if the server is not known to have other work
+   * @param costMs the expected time with what the choice costs others
+   */
+  record Choice(
+      Backend backend,
+      int keptTokens,
+      @Nullable Fetch fetch,
+      double waitMs,
+      double expectedMs,
+      double readMs,
+      boolean alone,
+      double costMs) {
+    int fetchedTokens() {
+      return fetch == null ? 0 : fetch.tokens();
+    }
+  }
 
   /** Returns the cheapest server, or null if there is none. */
   static @Nullable Choice choose(List<Backend> candidates, Query query) {
@@ -114,37 +138,46 @@
   }
 
   private static Choice consider(Backend backend, boolean isHome, Query query) {
-    double cost = 0;
-    int kept = 0;
-    int running = backend.inFlight() + query.peerLoads().running(backend.idHash());
-    Prompt prompt = query.prompt();
-    if (prompt == null) {
-      cost += running * MS_PER_PLAIN_REQUEST;
-    } else {
-      String scope = query.scope().apply(backend.weights(prompt.model()));
-      kept = backend.keptTokens(scope, prompt);
-      int fetchable = Math.max(0, query.parts().fetchableTokens(scope, prompt) - kept);
-      int missing = prompt.tokens() - kept - fetchable;
-      int shared = prompt.tokens() - lastPartTokens(prompt);
-      double homeKept = isHome ? HOME_KEPT * Math.max(0, shared - kept) : 0;
-      if (fetchable > 0) {
-        cost += FIRST_FETCH_MS + Math.max(0, fetchable - homeKept) * MS_PER_FETCHED_TOKEN;
-      } else {
-        missing -= (int) homeKept;
-      }
-      kept += fetchable;
-      long pending = backend.pendingTokens() + query.peerLoads().pendingTokens(backend.idHash());
-      cost += (missing + pending) * MS_PER_TOKEN;
-      cost += running * MS_PER_RUNNING;
-      cost += weightsCost(backend, prompt.model(), query);
-    }
+    double otherMs = 0;
     if (!backend.entry().dataCentre().equals(query.dataCentre())) {
-      cost += OTHER_DATA_CENTRE_MS;
+      otherMs += OTHER_DATA_CENTRE_MS;
     }
     if (backend.refusedLately(query.nowMs())) {
-      cost += REFUSED_MS;
+      otherMs += REFUSED_MS;
+    }
+    Prompt prompt = query.prompt();
+    EngineInfo info = query.engine();
+    int running = backend.inFlight() + query.peerLoads().running(backend.idHash());
+    if (prompt == null || info == null) {
+      double waitMs = running * MS_PER_PLAIN_REQUEST;
+      return new Choice(backend, 0, null, waitMs, waitMs, 0, running == 0, waitMs + otherMs);
+    }
+    otherMs += weightsCost(backend, prompt.model(), query);
+    return considerEngine(backend, isHome, running, otherMs, prompt, query);
+  }
+
+  private static Choice considerEngine(
+      Backend backend, boolean isHome, int running, double otherMs, Prompt prompt, Query query) {
+    String scope = query.scope().apply(backend.weights(prompt.model()));
+    int kept = backend.kept().leadingTokens(scope, prompt, query.nowMs());
+    double patienceMs = TARGET_SHARE * query.targetLeftMs();
+    Fetch fetch = query.sources().apply(scope).plan(backend, kept, patienceMs);
+    int missing = prompt.tokens() - kept - fetch.tokens();
+    if (isHome && !backend.kept().isTold(query.nowMs()) && fetch.tokens() == 0) {
+      missing -= (int) (HOME_KEPT * Math.max(0, sharedTokens(prompt) - kept));
     }
-    return new Choice(backend, kept, cost);
+    long pending = backend.pendingTokens() + query.peerLoads().pendingTokens(backend.idHash());
+    double readMs = missing * backend.msPerToken();
+    double waitMs =
+        pending * backend.msPerToken()
+            + running * MS_PER_RUNNING
+            + backend.timing().lagMs(query.nowMs());
+    double expectedMs = readMs + fetch.ms() + waitMs;
+    double displacedMs = fetch.tokens() * backend.msPerToken() * DISPLACED_SHARE;
+    double costMs =
+        expectedMs + fetch.linkMs() + displacedMs + otherMs + (isHome ? 0 : NOT_HOME_MS);
+    boolean alone = running == 0;
+    return new Choice(backend, kept, fetch, waitMs, expectedMs, readMs, alone, costMs);
   }
 
   private static double weightsCost(Backend backend, String model, Query query) {
@@ -159,8 +192,8 @@
     return turn < LOADING_NEXT ? LOADING_SOON_MS : OLD_WEIGHTS_MS;
   }
 
-  private static int lastPartTokens(Prompt prompt) {
+  private static int sharedTokens(Prompt prompt) {
     int size = prompt.parts().size();
-    return size == 0 ? 0 : prompt.parts().get(size - 1).tokens();
+    return size == 0 ? 0 : prompt.tokens() - prompt.parts().get(size - 1).tokens();
   }
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServiceInfo.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServiceInfo.java
@@ -31,6 +31,8 @@
    *
    * @param slots requests that run at once
    * @param cacheTokens tokens that running requests and kept parts share
+   * @param tokenBytes what one token of kept state takes
+   * @param linkMbps what an engine's link for kept state carries, in megabits a second
    */
-  public record EngineInfo(int slots, int cacheTokens) {}
+  public record EngineInfo(int slots, int cacheTokens, double tokenBytes, double linkMbps) {}
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/Serving.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/Serving.java
@@ -28,6 +28,7 @@
   private final DecisionLog log;
   private final ServingOptions options;
   private final Set<RequestRun> running = new HashSet<>();
+  private final WaitingRuns waiting;
 
   public Serving(
       EventLoop loop,
@@ -40,6 +41,7 @@
     this.transport = transport;
     this.log = log;
     this.options = options;
+    this.waiting = new WaitingRuns(loop);
   }
 
   /** Begins to serve a request; tell the run if the caller leaves. */
@@ -52,6 +54,7 @@
 
   void ended(RequestRun run) {
     running.remove(run);
+    waiting.remove(run);
   }
 
   /** Returns the number of requests under way. */
@@ -67,6 +70,10 @@
     }
   }
 
+  WaitingRuns waiting() {
+    return waiting;
+  }
+
   EventLoop loop() {
     return loop;
   }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServingState.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServingState.java
@@ -25,6 +25,7 @@
 import org.jspecify.annotations.Nullable;
 import org.landingtrack.internal.base.Hashes;
 import org.landingtrack.internal.dispatch.RetryBudget;
+import org.landingtrack.internal.loads.LoadNews.Load;
 import org.landingtrack.internal.loads.PeerLoads;
 
 /**
@@ -67,7 +68,7 @@
     this.peerLoads = peerLoads;
     this.loop = loop;
     this.servers = servers;
-    this.parts = new PartStores(loop);
+    this.parts = new PartStores(loop, peerLoads);
     this.log = log;
     this.maxSavedRetries = maxSavedRetries;
   }
@@ -118,6 +119,13 @@
     return parts;
   }
 
+  /** Returns what this VM has under way at servers and fetches at stores, to tell other VMs. */
+  public List<Load> ownLoads() {
+    List<Load> loads = servers.ownLoads();
+    loads.addAll(parts.ownLoads());
+    return loads;
+  }
+
   PeerLoads peerLoads() {
     return peerLoads;
   }
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/PartRelayTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/PartRelayTest.java
@@ -33,7 +33,8 @@
 /** News of a store of parts that one VM asks and others hear of. */
 public final class PartRelayTest {
   private static final String ADDRESS = "10.0.0.9:80";
-  private static final StoreInfo STORE = new StoreInfo("parts", ADDRESS, "dc-1", 10_000, 100_000);
+  private static final StoreInfo STORE =
+      new StoreInfo("parts", ADDRESS, "dc-1", 10_000, 100_000, 0);
   private static final Prompt PROMPT =
       new Prompt("m", 10, List.of(new Prompt.Part("a", 500), new Prompt.Part("own", 100)));
 
@@ -56,15 +57,21 @@
     final PartStores stores;
     final PartRelay relay;
     final List<String> wantedLists = new ArrayList<>();
+    private final ManualLoop loop;
 
     Vm(ManualLoop loop) {
-      stores = new PartStores(loop);
+      this.loop = loop;
+      stores = new PartStores(loop, PartPlans.noPeers(loop));
       stores.configure(List.of(STORE));
       relay = new PartRelay(loop, stores, clock, wantedLists::add);
     }
 
+    PartMoves plan() {
+      return PartPlans.moves(stores, loop, "v1", PROMPT);
+    }
+
     boolean fetches() {
-      return stores.plan("v1", PROMPT).fetches();
+      return plan().fetches();
     }
   }
 
@@ -88,8 +95,8 @@
     round();
     assertTrue(hub.fetches());
     assertTrue(other.fetches());
-    long untilMs = other.stores.plan("v1", PROMPT).untilMs();
-    assertEquals(other.clock.at(untilMs), hub.clock.at(hub.stores.plan("v1", PROMPT).untilMs()));
+    long untilMs = other.plan().untilMs();
+    assertEquals(other.clock.at(untilMs), hub.clock.at(hub.plan().untilMs()));
     loop.advance(PartStore.BELIEF_MS);
     assertFalse(other.fetches());
     assertTrue(other.wantedLists.isEmpty());
@@ -273,7 +280,7 @@
     }
 
     private void request(Vm vm) {
-      PartMoves moves = vm.stores.plan("v1", PROMPT);
+      PartMoves moves = vm.plan();
       if (moves.fetches()) {
         fetches++;
         long untilMs = vm.clock.at(moves.untilMs()).orElseThrow() - AHEAD_MS;
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/PartStoresTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/PartStoresTest.java
@@ -28,20 +28,25 @@
 
 public final class PartStoresTest {
   private static final String ADDRESS = "10.0.0.9:80";
-  private static final StoreInfo STORE = new StoreInfo("parts", ADDRESS, "dc-1", 10_000, 100_000);
+  private static final StoreInfo STORE =
+      new StoreInfo("parts", ADDRESS, "dc-1", 10_000, 100_000, 0);
   private static final Prompt PROMPT =
       new Prompt("m", 10, List.of(new Prompt.Part("a", 500), new Prompt.Part("own", 100)));
 
   private ManualLoop loop = new ManualLoop();
-  private PartStores stores = new PartStores(loop);
+  private PartStores stores = new PartStores(loop, PartPlans.noPeers(loop));
 
   @BeforeMethod
   public void newStores() {
     loop = new ManualLoop();
-    stores = new PartStores(loop);
+    stores = new PartStores(loop, PartPlans.noPeers(loop));
     stores.configure(List.of(STORE));
   }
 
+  private PartMoves plan(String scope) {
+    return PartPlans.moves(stores, loop, scope, PROMPT);
+  }
+
   private void settle() {
     stores.listed(ADDRESS, 1, loop.millis(), Map.of());
     loop.advance(PartStore.BELIEF_MS + 500);
@@ -51,23 +56,23 @@
   @Test
   public void sharedPartsAreSavedOnceAndFetchedWhenWhole() {
     settle();
-    PartMoves first = stores.plan("v1", PROMPT);
+    PartMoves first = plan("v1");
     assertEquals(first.save(), List.of(ADDRESS, ""));
     assertFalse(first.fetches());
-    assertFalse(stores.plan("v1", PROMPT).saves(), "ordered twice");
+    assertFalse(plan("v1").saves(), "ordered twice");
     stores.changed(ADDRESS, 1, loop.millis(), Map.of("v1/a", 500), List.of());
-    PartMoves next = stores.plan("v1", PROMPT);
+    PartMoves next = plan("v1");
     assertEquals(next.fetch(), List.of(ADDRESS, ""));
     assertEquals(next.untilMs(), loop.millis() + PartStore.BELIEF_MS);
-    assertEquals(stores.fetchableTokens("v1", PROMPT), 500);
+    assertEquals(PartPlans.fetchedTokens(stores, loop, "v1", PROMPT), 500);
   }
 
   @Test
   public void aScopeSeesNothingOfAnother() {
     settle();
     stores.changed(ADDRESS, 1, loop.millis(), Map.of("v1/a", 500), List.of());
-    assertFalse(stores.plan("v2", PROMPT).fetches());
-    assertFalse(stores.plan("v1-team", PROMPT).fetches());
+    assertFalse(plan("v2").fetches());
+    assertFalse(plan("v1-team").fetches());
   }
 
   @Test
@@ -75,9 +80,9 @@
     settle();
     stores.changed(ADDRESS, 1, loop.millis(), Map.of("v1/a", 500), List.of());
     loop.advance(PartStore.BELIEF_MS - PartStore.MIN_FETCH_MS);
-    assertTrue(stores.plan("v1", PROMPT).fetches());
+    assertTrue(plan("v1").fetches());
     loop.advance(1);
-    assertFalse(stores.plan("v1", PROMPT).fetches());
+    assertFalse(plan("v1").fetches());
   }
 
   @Test
@@ -85,22 +90,22 @@
     settle();
     stores.changed(ADDRESS, 1, loop.millis(), Map.of("v1/a", 500), List.of());
     stores.changed(ADDRESS, 2, loop.millis(), Map.of(), List.of());
-    assertFalse(stores.plan("v1", PROMPT).fetches());
+    assertFalse(plan("v1").fetches());
     for (long ms = 0; ms < PartStore.BELIEF_MS; ms += 100) {
-      assertFalse(stores.plan("v1", PROMPT).saves(), "saved after " + ms);
+      assertFalse(plan("v1").saves(), "saved after " + ms);
       loop.advance(100);
       stores.changed(ADDRESS, 2, loop.millis(), Map.of(), List.of());
     }
     loop.advance(500);
     stores.changed(ADDRESS, 2, loop.millis(), Map.of(), List.of());
-    assertTrue(stores.plan("v1", PROMPT).saves());
+    assertTrue(plan("v1").saves());
   }
 
   @Test
   public void aFullStoreTakesNothingMore() {
     settle();
     stores.changed(ADDRESS, 1, loop.millis(), Map.of("v1/b", 9_500), List.of());
-    assertFalse(stores.plan("v1", PROMPT).saves());
+    assertFalse(plan("v1").saves());
   }
 
   /**
@@ -136,7 +141,7 @@
     World(int seed) {
       random = new Random(seed);
       for (int i = 0; i < VMS; i++) {
-        vms[i] = new PartStores(loop);
+        vms[i] = new PartStores(loop, PartPlans.noPeers(loop));
         vms[i].configure(List.of(STORE));
         vms[i].listed(ADDRESS, epoch, loop.millis(), Map.of());
       }
@@ -174,7 +179,7 @@
     }
 
     private void request(int i) {
-      PartMoves moves = vms[i].plan("v1", PROMPT);
+      PartMoves moves = PartPlans.moves(vms[i], loop, "v1", PROMPT);
       if (moves.fetches()) {
         fetchesUntilMs = Math.max(fetchesUntilMs, moves.untilMs());
       }
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/ServingWorld.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/ServingWorld.java
@@ -30,7 +30,7 @@
   static final String KEY = "key-1";
   static final String WALLED_KEY = "key-2";
   static final PartStore.StoreInfo STORE =
-      new PartStore.StoreInfo("parts", "10.0.0.9:80", "dc-1", 100_000, 100_000);
+      new PartStore.StoreInfo("parts", "10.0.0.9:80", "dc-1", 100_000, 100_000, 0);
 
   final ManualLoop loop = new ManualLoop();
   final FakeTransport transport = new FakeTransport();
@@ -97,7 +97,7 @@
             "other",
             new ServiceInfo("other", "/health", 100, null),
             "engines",
-            new ServiceInfo("engines", "/health", 100, new EngineInfo(8, 10_000))),
+            new ServiceInfo("engines", "/health", 100, new EngineInfo(8, 10_000, 18_432, 100_000))),
         keys,
         CallerLimits.DEFAULT,
         List.of(STORE));
