An engine's memory is waited for at the VM; late requests wait behind those in time; dead starts get nothing

Cause: first events were late exactly where requests under way at an engine needed its whole memory. From the logs of all VMs, mean lateness against the expected time by tokens that the engine's requests needed (memory 70,457): under 60,000 10 to 50 ms, 70,000 to 80,000 200 to 500 ms, beyond 500 to 1,200 ms. Such a request waits inside the engine, its fetch becomes too old, all of it is read, and running requests push out kept parts.

--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/LoadNews.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/LoadNews.java
@@ -76,16 +76,18 @@
    * @param pendingTokens prompt tokens that the server has yet to read
    * @param running requests, or moves at a store
    * @param movingMs how long moves of kept state keep its link busy
+   * @param heldTokens tokens of its memory that requests under way need
    */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-  public record Load(long server, long pendingTokens, int running, long movingMs) {
+  public record Load(long server, long pendingTokens, int running, long movingMs, long heldTokens) {
     /** Returns the sum of two loads of one server. */
     Load plus(Load other) {
       return new Load(
           server,
           pendingTokens + other.pendingTokens,
           running + other.running,
-          movingMs + other.movingMs);
+          movingMs + other.movingMs,
+          heldTokens + other.heldTokens);
     }
 
     /** Returns this load without another one, and never less than nothing. */
@@ -94,7 +96,8 @@
           server,
           Math.max(0, pendingTokens - other.pendingTokens),
           Math.max(0, running - other.running),
-          Math.max(0, movingMs - other.movingMs));
+          Math.max(0, movingMs - other.movingMs),
+          Math.max(0, heldTokens - other.heldTokens));
     }
   }
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/PeerLoads.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/PeerLoads.java
@@ -281,4 +281,10 @@
     Load load = totals.get(server);
     return load == null ? 0 : load.movingMs();
   }
+
+  /** Returns the tokens of a server's memory that requests of other VMs need. */
+  public long heldTokens(long server) {
+    Load load = totals.get(server);
+    return load == null ? 0 : load.heldTokens();
+  }
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/Attempt.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/Attempt.java
@@ -35,6 +35,7 @@
   private final EventLoop loop;
   private final Outcome outcome;
   private final long missingTokens;
+  private final long memoryTokens;
   private @Nullable Exchange exchange;
   private @Nullable AnswerHead head;
   private boolean prefilling = true;
@@ -68,11 +69,12 @@
         prompt == null || plan.cacheTokens() == 0
             ? 0
             : Math.max(0, prompt.tokens() - plan.keptOrFetchedTokens());
+    this.memoryTokens = prompt == null || plan.cacheTokens() == 0 ? 0 : prompt.memoryTokens();
   }
 
   /** Sends the request. */
   void start(BackendTransport transport, BackendCall call) {
-    plan.backend().sent(missingTokens);
+    plan.backend().sent(missingTokens, memoryTokens);
     noteSent();
     exchange = transport.send(call, this);
   }
@@ -137,7 +139,7 @@
     over = true;
     plan.backend().timing().ended(this, loop.millis());
     endPrefill();
-    plan.backend().finished();
+    plan.backend().finished(memoryTokens);
     return true;
   }
 
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/Backend.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/Backend.java
@@ -41,11 +41,13 @@
   private final Map<String, Long> learnedWeights = new HashMap<>();
   private int inFlight;
   private long pendingTokens;
+  private long heldTokens;
   private int failures;
   private int ejections;
   private long ejectedUntilMs;
   private long refusedUntilMs;
   private boolean silent;
+  private boolean replaced;
   private final KeptParts kept = new KeptParts();
   private final EngineTiming timing = new EngineTiming();
   private final LinkBacklog backlog = new LinkBacklog();
@@ -117,17 +119,30 @@
     return pendingTokens;
   }
 
-  void sent(long tokens) {
+  /** Returns the tokens of memory that this VM's requests under way need there. */
+  long heldTokens() {
+    return heldTokens;
+  }
+
+  /**
+   * Notes a request that was sent.
+   *
+   * @param readTokens prompt tokens that the server has to read
+   * @param memoryTokens what the request takes of an engine's memory
+   */
+  void sent(long readTokens, long memoryTokens) {
     inFlight++;
-    pendingTokens += tokens;
+    pendingTokens += readTokens;
+    heldTokens += memoryTokens;
   }
 
   void prefilled(long tokens) {
     pendingTokens = Math.max(0, pendingTokens - tokens);
   }
 
-  void finished() {
+  void finished(long memoryTokens) {
     inFlight--;
+    heldTokens -= memoryTokens;
   }
 
   void succeeded() {
@@ -197,6 +212,15 @@
     return silent;
   }
 
+  /** Notes that another start has the server's address: this one is gone and never returns. */
+  void replacedByAnother() {
+    replaced = true;
+  }
+
+  boolean isReplaced() {
+    return replaced;
+  }
+
   /** Forgets what is guessed to be kept, after the server's weights changed. */
   void forgetParts() {
     kept.weightsChanged();
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/PartStores.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/PartStores.java
@@ -139,7 +139,7 @@
     for (PartStore store : byAddress.values()) {
       long ms = (long) store.backlog().ms(now);
       if (ms > 0) {
-        loads.add(new Load(store.addressHash(), 0, store.backlog().size(), ms));
+        loads.add(new Load(store.addressHash(), 0, store.backlog().size(), ms, 0));
       }
     }
     return loads;
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/Prompt.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/Prompt.java
@@ -41,6 +41,11 @@
     return sum;
   }
 
+  /** Returns the most memory of an engine that the request takes, in tokens. */
+  public long memoryTokens() {
+    return (long) tokens() + maxOutputTokens;
+  }
+
   /** Returns the key of the last part that other requests share, or of the only part. */
   public String sessionKey() {
     if (parts.isEmpty()) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
@@ -28,6 +28,7 @@
 import org.landingtrack.internal.serving.DecisionLog.RouteFacts;
 import org.landingtrack.internal.serving.Route.Repeat;
 import org.landingtrack.internal.serving.SendPlanner.SendPlan;
+import org.landingtrack.internal.serving.ServerChooser.Choice;
 
 /**
  * One request of a caller, from its route to the end of its answer. It is sent to one backend
@@ -47,6 +48,15 @@
    */
   private static final long MAX_ENGINE_WAIT_MS = 250;
 
+  /** Requests under way may need so much of an engine's memory; the rest keeps parts. */
+  private static final double MEMORY_SHARE = 0.75;
+
+  /** Likewise for a request that has waited as long as its route's target. */
+  private static final double MAX_MEMORY_SHARE = 1.1;
+
+  /** An engine's answer takes at least about so long. */
+  private static final long LEAST_ANSWER_MS = 100;
+
   /** When a caller should come back after a refusal for lack of a server. */
   private static final long RETRY_AFTER_MS = 250;
 
@@ -152,7 +162,7 @@
       failWithout("no usable server of " + service);
       return;
     }
-    if (plan.cacheTokens() > 0 && plan.choice().waitMs() > MAX_ENGINE_WAIT_MS) {
+    if (plan.cacheTokens() > 0 && !canBeginSoon(plan.choice())) {
       serving.waiting().add(this, Math.max(0, plan.priority()));
       return;
     }
@@ -180,6 +190,24 @@
             lastEventId));
   }
 
+  /**
+   * Without memory for it an engine begins a request only when others are over; until then it is
+   * better ordered here. A large one is let through in the end, or small ones would take its place
+   * for ever.
+   */
+  private boolean canBeginSoon(Choice choice) {
+    Route current = route;
+    double waited = current == null ? 1 : (double) ageMs() / Math.max(1, current.targetLatencyMs());
+    double share = MEMORY_SHARE + (MAX_MEMORY_SHARE - MEMORY_SHARE) * Math.min(1, waited);
+    return choice.waitMs() <= MAX_ENGINE_WAIT_MS && choice.memoryShare() <= share;
+  }
+
+  /** Returns true if an answer can no longer come within the route's target. */
+  boolean isLate() {
+    Route current = route;
+    return current != null && ageMs() + LEAST_ANSWER_MS > current.targetLatencyMs();
+  }
+
   private RouteFacts facts(SendPlan plan, PartMoves moves) {
     ServingConfig config = serving.state().config();
     Prompt prompt = request.prompt();
@@ -327,7 +355,10 @@
             return;
           }
         }
-        case OTHER_SERVER -> noteFailure(sent, why);
+        case OTHER_SERVER -> {
+          sent.backend().replacedByAnother();
+          serving.log().ejected(sent.serverId(), "another start has its address");
+        }
         case FULL -> sent.backend().refused(loop.millis());
         case OTHER_VERSION -> sent.refusedWeights(serving.state());
         case REFUSED -> {}
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerBook.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerBook.java
@@ -169,7 +169,12 @@
       if (backend.inFlight() > 0) {
         long movingMs = (long) backend.backlog().ms(loop.millis());
         loads.add(
-            new Load(backend.idHash(), backend.pendingTokens(), backend.inFlight(), movingMs));
+            new Load(
+                backend.idHash(),
+                backend.pendingTokens(),
+                backend.inFlight(),
+                movingMs,
+                backend.heldTokens()));
       }
     }
     return loads;
@@ -193,6 +198,9 @@
       if (excluded.contains(backend.entry().id())) {
         continue;
       }
+      if (backend.isReplaced()) {
+        continue;
+      }
       long leavingFor = backend.leavingForMs(now);
       if (leavingFor >= 0 && !mayHaveLapsed(backend, now)) {
         if (leavingFor < lastResortMs) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerChooser.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerChooser.java
@@ -37,6 +37,9 @@
   /** Assumed delay by each request that an engine already runs. */
   private static final double MS_PER_RUNNING = 1.0;
 
+  /** Requests that need an engine's whole memory are over in about this time. */
+  private static final double MS_PER_MEMORY = 1_000;
+
   /** Assumed delay by each request that a plain server already runs. */
   private static final double MS_PER_PLAIN_REQUEST = 40;
 
@@ -92,6 +95,7 @@
    * @param keptTokens leading tokens of the prompt that the server probably keeps
    * @param fetch what it fetches, or null for a server that is no engine
    * @param waitMs the time until it begins
+   * @param memoryShare what part of an engine's memory requests would need with this one
    * @param expectedMs the time until its first event
    * @param readMs the part of that which is reading
    * @param alone true if the server is not known to have other work
@@ -102,6 +106,7 @@
       int keptTokens,
       @Nullable Fetch fetch,
       double waitMs,
+      double memoryShare,
       double expectedMs,
       double readMs,
       boolean alone,
@@ -150,14 +155,21 @@
     int running = backend.inFlight() + query.peerLoads().running(backend.idHash());
     if (prompt == null || info == null) {
       double waitMs = running * MS_PER_PLAIN_REQUEST;
-      return new Choice(backend, 0, null, waitMs, waitMs, 0, running == 0, waitMs + otherMs);
+      return new Choice(backend, 0, null, waitMs, 0, waitMs, 0, running == 0, waitMs + otherMs);
     }
     otherMs += weightsCost(backend, prompt.model(), query);
-    return considerEngine(backend, isHome, running, otherMs, prompt, query);
+    return considerEngine(
+        backend, isHome, running, otherMs, prompt, Math.max(1, info.cacheTokens()), query);
   }
 
   private static Choice considerEngine(
-      Backend backend, boolean isHome, int running, double otherMs, Prompt prompt, Query query) {
+      Backend backend,
+      boolean isHome,
+      int running,
+      double otherMs,
+      Prompt prompt,
+      int cacheTokens,
+      Query query) {
     String scope = query.scope().apply(backend.weights(prompt.model()));
     int kept = backend.kept().leadingTokens(scope, prompt, query.nowMs());
     double patienceMs = TARGET_SHARE * query.targetLeftMs();
@@ -172,12 +184,15 @@
         pending * backend.msPerToken()
             + running * MS_PER_RUNNING
             + backend.timing().lagMs(query.nowMs());
+    long held = backend.heldTokens() + query.peerLoads().heldTokens(backend.idHash());
+    double memoryShare = held == 0 ? 0 : (double) (held + prompt.memoryTokens()) / cacheTokens;
+    waitMs += Math.max(0, memoryShare - 1) * MS_PER_MEMORY;
     double expectedMs = readMs + fetch.ms() + waitMs;
     double displacedMs = fetch.tokens() * backend.msPerToken() * DISPLACED_SHARE;
     double costMs =
         expectedMs + fetch.linkMs() + displacedMs + otherMs + (isHome ? 0 : NOT_HOME_MS);
     boolean alone = running == 0;
-    return new Choice(backend, kept, fetch, waitMs, expectedMs, readMs, alone, costMs);
+    return new Choice(backend, kept, fetch, waitMs, memoryShare, expectedMs, readMs, alone, costMs);
   }
 
   private static double weightsCost(Backend backend, String model, Query query) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/WaitingRuns.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/WaitingRuns.java
@@ -79,11 +79,15 @@
     loop.schedule(LOOK_EVERY_MS, this::look);
   }
 
-  /** Tries all that wait, in turn: one that still has to wait does not hold up others. */
+  /**
+   * Tries all that wait, in turn: one that still has to wait does not hold up others. Those that
+   * cannot be in time any more come after those that can.
+   */
   private void look() {
     lookIsDue = false;
     List<Waiting> inTurn = new ArrayList<>(waiting);
-    inTurn.sort(Comparator.comparingLong(Waiting::turnMs));
+    inTurn.sort(
+        Comparator.comparing((Waiting each) -> each.run.isLate()).thenComparing(Waiting::turnMs));
     for (Waiting each : inTurn) {
       each.run.tryNow();
     }
--- a/landingtrack/src/test/java/org/landingtrack/internal/loads/FleetTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/loads/FleetTest.java
@@ -88,7 +88,7 @@
   }
 
   private void tell(Member member) {
-    List<Load> own = List.of(new Load(SERVER, 10, 1, 0));
+    List<Load> own = List.of(new Load(SERVER, 10, 1, 0, 0));
     member.sequence++;
     for (Mail mail : member.loads.nextRound()) {
       messages++;
--- a/landingtrack/src/test/java/org/landingtrack/internal/loads/LoadExchangeTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/loads/LoadExchangeTest.java
@@ -59,7 +59,7 @@
   }
 
   private LoadExchange exchange(PeerLoads peers, int running) throws Exception {
-    LoadExchange exchange = bind(peers, () -> List.of(new Load(SERVER, 0, running, 0)));
+    LoadExchange exchange = bind(peers, () -> List.of(new Load(SERVER, 0, running, 0, 0)));
     exchange.start();
     return exchange;
   }
--- a/landingtrack/src/test/java/org/landingtrack/internal/loads/PeerLoadsTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/loads/PeerLoadsTest.java
@@ -56,7 +56,7 @@
         sequence,
         kind,
         List.of(),
-        List.of(new Load(SERVER, tokens, 1, 0)),
+        List.of(new Load(SERVER, tokens, 1, 0, 0)),
         List.of());
   }
 
