Parts have one save; long ones belong to the largest stores; saves do not delay fetches on paper

A part whose first save was under way could be saved to a second store, and first come, first served filled the fast stores with long parts.

--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/PartStore.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/PartStore.java
@@ -54,6 +54,7 @@
   private final Map<String, Long> savingSinceMs = new HashMap<>();
   private long heldTokens;
   private final LinkBacklog backlog = new LinkBacklog();
+  private final LinkBacklog saves = new LinkBacklog();
   private long epoch = -1;
   private long confirmedAtMs = Long.MIN_VALUE / 2;
   private long savesFromMs = Long.MIN_VALUE / 2;
@@ -131,7 +132,12 @@
     return whole.containsKey(key) && fetchUntilMs() - nowMs >= MIN_FETCH_MS;
   }
 
-  /** Returns the moves that this VM ordered over the store's link. */
+  /** Returns the saves that this VM ordered over the store's link. */
+  LinkBacklog saves() {
+    return saves;
+  }
+
+  /** Returns the fetches that this VM ordered over the store's link. */
   LinkBacklog backlog() {
     return backlog;
   }
@@ -151,14 +157,19 @@
 
   /** Returns true if a part should be saved here. */
   boolean canSave(String key, int tokens, long nowMs) {
-    Long since = savingSinceMs.get(key);
     return nowMs >= savesFromMs
         && fetchUntilMs() - nowMs >= MIN_FETCH_MS
         && !whole.containsKey(key)
-        && (since == null || nowMs - since >= SAVE_AGAIN_MS)
+        && !isSaving(key, nowMs)
         && heldTokens + tokens <= info.capacityTokens() * FULL_SHARE;
   }
 
+  /** Returns true if this VM ordered a part to be saved here a short time ago. */
+  boolean isSaving(String key, long nowMs) {
+    Long since = savingSinceMs.get(key);
+    return since != null && nowMs - since < SAVE_AGAIN_MS;
+  }
+
   void saving(String key, long nowMs) {
     savingSinceMs.put(key, nowMs);
   }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/PartStores.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/PartStores.java
@@ -17,6 +17,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -32,15 +33,23 @@
   /** Parts of fewer tokens than this are quicker read than moved. */
   private static final int MIN_TOKENS = 64;
 
+  /** Longer parts than this go to the largest stores, but for a prompt's first one. */
+  private static final int LONG_TOKENS = 1_000;
+
   /** Engines give up a move that would wait for two seconds; half of that keeps clear of it. */
   private static final double MAX_SAVE_WAIT_MS = 1_000;
 
-  /** The owner of all saves: no answer tells of their end. */
+  /**
+   * The owner of all saves: no answer tells of their end. They count where another save is to go
+   * and not in the expected time of fetches: counted there, more was read than had to be.
+   */
   private static final Object SAVES = new Object();
 
   private final EventLoop loop;
   private final PeerLoads peerLoads;
   private final Map<String, PartStore> byAddress = new HashMap<>();
+  private List<PartStore> fastest = List.of();
+  private List<PartStore> largest = List.of();
 
   /** Creates a view of no store; {@code peerLoads} tells what other VMs move. */
   public PartStores(EventLoop loop, PeerLoads peerLoads) {
@@ -61,9 +70,27 @@
       }
       byAddress.put(info.address(), known);
     }
+    Comparator<PartStore> bySpeed = Comparator.comparingDouble(store -> -store.info().linkMbps());
+    Comparator<PartStore> bySize =
+        Comparator.comparingLong(store -> -store.info().capacityTokens());
+    fastest = first(bySpeed);
+    largest = first(bySize);
     return added;
   }
 
+  /** Returns the stores that are equal in what counts, the best first. */
+  private List<PartStore> first(Comparator<PartStore> order) {
+    List<PartStore> all = new ArrayList<>(byAddress.values());
+    all.sort(order.thenComparing(store -> store.info().address()));
+    List<PartStore> best = new ArrayList<>();
+    for (PartStore store : all) {
+      if (best.isEmpty() || order.compare(best.get(0), store) == 0) {
+        best.add(store);
+      }
+    }
+    return best;
+  }
+
   /** Returns a store by its address, or null if the configuration lacks it. */
   @Nullable PartStore find(String address) {
     return byAddress.get(address);
@@ -106,8 +133,7 @@
   }
 
   /**
-   * Returns where the shared parts of a prompt are saved that no store has, and notes that. A part
-   * goes where it is soonest there and there is room.
+   * Returns where the shared parts of a prompt are saved that no store has, and notes that.
    *
    * @param engine the engine that will have them
    */
@@ -119,14 +145,13 @@
       Prompt.Part part = prompt.parts().get(i);
       boolean isKept = i >= shared || !holding(scope, part, now).isEmpty();
       PartStore target =
-          isKept ? null : target(scope, part, info, engine.entry().dataCentre(), now);
+          isKept ? null : target(scope, prompt, i, info, engine.entry().dataCentre(), now);
       save.add(target == null ? "" : target.info().address());
       if (target != null) {
         target.saving(key(scope, part), now);
         double linkMs = target.linkMs(part.tokens(), info, engine.entry().dataCentre());
         double endsInMs = part.tokens() * engine.msPerToken() + backlogMs(target) + linkMs;
-        target.backlog().add(SAVES, linkMs, endsInMs, now);
-        engine.backlog().add(SAVES, linkMs, endsInMs, now);
+        target.saves().add(SAVES, linkMs, endsInMs, now);
       }
     }
     return save;
@@ -157,17 +182,47 @@
     return store.backlog().ms(loop.millis()) + peerLoads.movingMs(store.addressHash());
   }
 
+  /**
+   * Short parts, and the first ones, which most prompts share, go to the fastest stores; long ones
+   * to the largest, or they would fill the fast ones. Where there is no room, any other will do.
+   */
   private @Nullable PartStore target(
-      String scope, Prompt.Part part, EngineInfo info, String dataCentre, long now) {
-    if (part.tokens() < MIN_TOKENS) {
+      String scope, Prompt prompt, int index, EngineInfo info, String dataCentre, long now) {
+    Prompt.Part part = prompt.parts().get(index);
+    String key = key(scope, part);
+    if (part.tokens() < MIN_TOKENS || isSavedAnywhere(key, now)) {
       return null;
     }
-    String key = key(scope, part);
+    boolean isLong = index > 0 && part.tokens() > LONG_TOKENS;
+    PartStore preferred = soonest(isLong ? largest : fastest, key, part, info, dataCentre, now);
+    return preferred != null
+        ? preferred
+        : soonest(byAddress.values(), key, part, info, dataCentre, now);
+  }
+
+  /** Also a store that is not believed at the moment has the part, or will. */
+  private boolean isSavedAnywhere(String key, long now) {
+    for (PartStore store : byAddress.values()) {
+      if (store.holds(key) || store.isSaving(key, now)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private @Nullable PartStore soonest(
+      Collection<PartStore> stores,
+      String key,
+      Prompt.Part part,
+      EngineInfo info,
+      String dataCentre,
+      long now) {
     long hash = Hashes.placement(part.key());
     PartStore best = null;
     double bestMs = MAX_SAVE_WAIT_MS;
-    for (PartStore store : byAddress.values()) {
-      double ms = backlogMs(store) + store.linkMs(part.tokens(), info, dataCentre);
+    for (PartStore store : stores) {
+      double ms =
+          backlogMs(store) + store.saves().ms(now) + store.linkMs(part.tokens(), info, dataCentre);
       boolean better =
           ms < bestMs || (ms == bestMs && best != null && isPreferred(hash, store, best));
       if (better && store.canSave(key, part.tokens(), now)) {
