EngineAdmission: hopeless requests are refused at once; tests of the new decisions

What waits before a request and how quickly others began lately give its expected wait; one that cannot be answered in its time is refused at once, truly not run, with a time to come back that is spread by its id. The decision has left RequestRun for a class without I/O. Memory that others need counts in the cost of an engine from the share on from which requests wait for it: a test found that an engine with free memory was passed over for one without.

--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
@@ -28,7 +28,6 @@
 import org.landingtrack.internal.serving.DecisionLog.RouteFacts;
 import org.landingtrack.internal.serving.Route.Repeat;
 import org.landingtrack.internal.serving.SendPlanner.SendPlan;
-import org.landingtrack.internal.serving.ServerChooser.Choice;
 
 /**
  * One request of a caller, from its route to the end of its answer. It is sent to one backend
@@ -42,20 +41,11 @@
   /** Less time than this is not worth another send. */
   private static final long MIN_LEFT_MS = 20;
 
-  /**
-   * A request is not sent to an engine that would begin it later than this: fetches must end within
-   * {@link PartStore#BELIEF_MS}, and there they take some hundred milliseconds.
-   */
-  private static final long MAX_ENGINE_WAIT_MS = 250;
+  /** Callers that are refused together come back spread over this time. */
+  private static final long RETRY_SPREAD_MS = 300;
 
-  /** Requests under way may need so much of an engine's memory; the rest keeps parts. */
-  private static final double MEMORY_SHARE = 0.75;
-
-  /** Likewise for a request that has waited as long as its route's target. */
-  private static final double MAX_MEMORY_SHARE = 1.1;
-
-  /** An engine's answer takes at least about so long. */
-  private static final long LEAST_ANSWER_MS = 100;
+  /** A caller that comes back after more than this part of its time has too little left. */
+  private static final int RETRY_LEFT_PARTS = 4;
 
   /** When a caller should come back after a refusal for lack of a server. */
   private static final long RETRY_AFTER_MS = 250;
@@ -154,7 +144,8 @@
 
   private void send() {
     SendPlanner current = planner;
-    if (done || current == null) {
+    Route admitted = route;
+    if (done || current == null || admitted == null) {
       return;
     }
     SendPlan plan = current.plan(tried);
@@ -162,11 +153,9 @@
       failWithout("no usable server of " + service);
       return;
     }
-    if (plan.cacheTokens() > 0 && !canBeginSoon(plan.choice())) {
-      serving.waiting().add(this, Math.max(0, plan.priority()));
+    if (!isAdmitted(plan, admitted)) {
       return;
     }
-    serving.waiting().remove(this);
     Backend backend = plan.backend();
     PartMoves moves = current.moves(plan);
     sends++;
@@ -190,22 +179,46 @@
             lastEventId));
   }
 
-  /**
-   * Without memory for it an engine begins a request only when others are over; until then it is
-   * better ordered here. A large one is let through in the end, or small ones would take its place
-   * for ever.
-   */
-  private boolean canBeginSoon(Choice choice) {
-    Route current = route;
-    double waited = current == null ? 1 : (double) ageMs() / Math.max(1, current.targetLatencyMs());
-    double share = MEMORY_SHARE + (MAX_MEMORY_SHARE - MEMORY_SHARE) * Math.min(1, waited);
-    return choice.waitMs() <= MAX_ENGINE_WAIT_MS && choice.memoryShare() <= share;
+  /** Returns true if a request may be sent; otherwise it waits now, or was refused. */
+  private boolean isAdmitted(SendPlan plan, Route admitted) {
+    if (plan.cacheTokens() == 0) {
+      return true;
+    }
+    long waitMs = serving.waiting().expectedWaitMs(this);
+    long leftMs = endsAtMs - loop.millis();
+    switch (EngineAdmission.decide(
+        plan.choice(), ageMs(), admitted.targetLatencyMs(), leftMs, waitMs)) {
+      case SEND -> {
+        serving.waiting().begins(this);
+        return true;
+      }
+      case WAIT -> serving.waiting().add(this, Math.max(0, plan.priority()));
+      case REFUSE -> refuseOverloaded(waitMs, leftMs);
+    }
+    return false;
+  }
+
+  private void refuseOverloaded(long waitMs, long leftMs) {
+    String why = "an engine would begin it in " + waitMs + " ms, " + leftMs + " ms are left";
+    if (inDoubt || streamStarted) {
+      failWithout(why);
+      return;
+    }
+    long spreadMs = Math.floorMod(Hashes.placement(request.id()), RETRY_SPREAD_MS);
+    long retryMs = Math.min(waitMs, leftMs / RETRY_LEFT_PARTS) + spreadMs;
+    refuse(ErrorKind.OVERLOADED, why, retryMs);
+  }
+
+  /** Returns the most memory of an engine that the request takes, in tokens. */
+  long memoryTokens() {
+    Prompt prompt = request.prompt();
+    return prompt == null ? 0 : prompt.memoryTokens();
   }
 
   /** Returns true if an answer can no longer come within the route's target. */
   boolean isLate() {
     Route current = route;
-    return current != null && ageMs() + LEAST_ANSWER_MS > current.targetLatencyMs();
+    return current != null && EngineAdmission.isLate(ageMs(), current.targetLatencyMs());
   }
 
   private RouteFacts facts(SendPlan plan, PartMoves moves) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerChooser.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerChooser.java
@@ -94,7 +94,7 @@
    *
    * @param keptTokens leading tokens of the prompt that the server probably keeps
    * @param fetch what it fetches, or null for a server that is no engine
-   * @param waitMs the time until it begins
+   * @param waitMs the time until it begins, if there is memory for it
    * @param memoryShare what part of an engine's memory requests would need with this one
    * @param expectedMs the time until its first event
    * @param readMs the part of that which is reading
@@ -186,8 +186,8 @@
             + backend.timing().lagMs(query.nowMs());
     long held = backend.heldTokens() + query.peerLoads().heldTokens(backend.idHash());
     double memoryShare = held == 0 ? 0 : (double) (held + prompt.memoryTokens()) / cacheTokens;
-    waitMs += Math.max(0, memoryShare - 1) * MS_PER_MEMORY;
-    double expectedMs = readMs + fetch.ms() + waitMs;
+    double memoryMs = Math.max(0, memoryShare - EngineAdmission.MEMORY_SHARE) * MS_PER_MEMORY;
+    double expectedMs = readMs + fetch.ms() + waitMs + memoryMs;
     double displacedMs = fetch.tokens() * backend.msPerToken() * DISPLACED_SHARE;
     double costMs =
         expectedMs + fetch.linkMs() + displacedMs + otherMs + (isHome ? 0 : NOT_HOME_MS);
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/WaitingRuns.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/WaitingRuns.java
@@ -15,8 +15,10 @@
  */
 package org.landingtrack.internal.serving;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.List;
 
 /**
@@ -31,10 +33,17 @@
   /** Loads of other VMs are news after so long at the latest. */
   private static final long LOOK_EVERY_MS = 50;
 
+  /** How quickly waiting requests begin is taken from this span. */
+  private static final long RATE_SPAN_MS = 2_000;
+
   private final EventLoop loop;
   private final List<Waiting> waiting = new ArrayList<>();
+  private final Deque<Begun> begun = new ArrayDeque<>();
   private boolean lookIsDue;
 
+  /** A request that began after it had waited. */
+  private record Begun(long atMs, long tokens) {}
+
   /**
    * A request that waits.
    *
@@ -67,8 +76,34 @@
     waiting.removeIf(each -> each.run == run);
   }
 
-  int size() {
-    return waiting.size();
+  /** Notes that a request is sent, which no longer waits if it did. */
+  void begins(RequestRun run) {
+    if (contains(run)) {
+      begun.add(new Begun(loop.millis(), run.memoryTokens()));
+      remove(run);
+    }
+  }
+
+  /**
+   * Returns how long a request that comes now is expected to wait, by what waits before it and how
+   * quickly others began lately; 0 where nothing tells.
+   */
+  long expectedWaitMs(RequestRun run) {
+    long since = loop.millis() - RATE_SPAN_MS;
+    while (!begun.isEmpty() && begun.peek().atMs < since) {
+      begun.remove();
+    }
+    long begunTokens = 0;
+    for (Begun each : begun) {
+      begunTokens += each.tokens;
+    }
+    long before = 0;
+    for (Waiting each : waiting) {
+      if (each.run != run && !each.run.isLate()) {
+        before += each.run.memoryTokens();
+      }
+    }
+    return begunTokens == 0 ? 0 : before * RATE_SPAN_MS / begunTokens;
   }
 
   private void lookLater() {
--- /dev/null
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/EngineNewsTest.java
@@ -0,0 +1,155 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.serving;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import org.landingtrack.ErrorKind;
+import org.landingtrack.internal.loads.LoadNews;
+import org.landingtrack.internal.loads.LoadNews.Load;
+import org.landingtrack.internal.loads.LoadNews.Vm;
+import org.landingtrack.internal.loads.StoreNews.Change;
+import org.landingtrack.internal.serving.BackendTransport.NotRunReason;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** What engines tell, and what other VMs tell of engines, as requests feel it. */
+public final class EngineNewsTest {
+  private ServingWorld world = new ServingWorld();
+  private EngineNews news = new EngineNews(world.loop, world.book, world.log);
+
+  @BeforeMethod
+  public void newWorld() {
+    world = new ServingWorld();
+    news = new EngineNews(world.loop, world.book, world.log);
+  }
+
+  private String lastServer() {
+    return world.transport.last().call.serverId();
+  }
+
+  private static Load needs(String server, long tokens) {
+    return new Load(org.landingtrack.internal.base.Hashes.placement(server), 0, 1, 0, tokens);
+  }
+
+  /** Another VM tells of its requests at both engines, which have memory for 10,000 tokens. */
+  private void othersNeed(long sequence, long atFirst, long atSecond) {
+    world.peerLoads.heard(
+        new LoadNews(
+            new Vm("10.0.1.2:70", "dc-1", 0),
+            sequence,
+            LoadNews.Kind.OWN,
+            List.of(),
+            List.of(needs("e1", atFirst), needs("e2", atSecond)),
+            List.of()));
+  }
+
+  @Test
+  public void whatAnEngineKeepsIsUsedThereOrFetchedFromThere() {
+    for (String keeper : List.of("e1", "e2")) {
+      newWorld();
+      news.listed("e1", Map.of());
+      news.listed("e2", Map.of());
+      news.changed(keeper, List.of(new Change(true, "v1/a", 500)));
+      world.serve("/chat/x");
+      assertTrue(lastServer().equals(keeper) || world.transport.last().call.moves().fetches());
+    }
+  }
+
+  @Test
+  public void aSilentEngineGetsNothingUntilItSpeaks() {
+    news.failed("e1", 1, "no answer");
+    news.failed("e1", 2, "no answer");
+    for (int i = 0; i < 6; i++) {
+      world.serve("/chat/x");
+      assertEquals(lastServer(), "e2");
+    }
+    news.changed("e1", List.of(new Change(true, "v1/a", 500)));
+    for (int i = 0; i < 6; i++) {
+      world.serve("/chat/x");
+    }
+    assertTrue(world.transport.sends.stream().anyMatch(s -> s.call.serverId().equals("e1")));
+  }
+
+  @Test
+  public void theLastEngineIsAskedAlsoWhenItIsSilent() {
+    for (String engine : List.of("e1", "e2")) {
+      news.failed(engine, 1, "no answer");
+      news.failed(engine, 2, "no answer");
+    }
+    world.serve("/chat/x");
+    assertEquals(world.transport.sends.size(), 1);
+  }
+
+  @Test
+  public void aStartThatWasReplacedGetsNothingMore() {
+    world.serve("/once/x");
+    String dead = lastServer();
+    world.transport.last().listener.notRun(NotRunReason.OTHER_SERVER, "answered 421");
+    for (int i = 0; i < 6; i++) {
+      world.serve("/once/x");
+      assertTrue(!lastServer().equals(dead), "sent to a dead start");
+    }
+  }
+
+  @Test
+  public void aRequestWaitsHereWhileEnginesHaveNoMemory() {
+    othersNeed(1, 9_000, 9_000);
+    RecordingSink sink = world.serve("/chat/x");
+    assertEquals(world.transport.sends.size(), 0);
+    othersNeed(2, 9_000, 0);
+    world.loop.advance(100);
+    assertEquals(lastServer(), "e2");
+    world.transport.last().startStream();
+    assertEquals(sink.seen.toString(), "stream 200");
+  }
+
+  @Test
+  public void whatWaitedInVainIsRefusedAndTrulyNotRun() {
+    for (int i = 1; i <= 60; i++) {
+      othersNeed(i, 20_000, 20_000);
+      if (i == 1) {
+        world.serving.serve(world.request("/chat/x", ServingWorld.KEY, 1_000), refused);
+      }
+      world.loop.advance(20);
+    }
+    assertEquals(refused.seen.toString(), "refused " + ErrorKind.OVERLOADED);
+    assertTrue(refused.retryAfterMs > 0);
+    assertEquals(world.transport.sends.size(), 0);
+  }
+
+  private final RecordingSink refused = new RecordingSink();
+
+  /** Of two that wait, the one that can still be in time goes first, though it came later. */
+  @Test
+  public void lateOnesWaitBehindThoseInTime() {
+    othersNeed(1, 11_000, 11_000);
+    world.serve("/chat/x");
+    for (int i = 2; i <= 15; i++) {
+      world.loop.advance(20);
+      othersNeed(i, 11_000, 11_000);
+    }
+    world.loop.advance(20);
+    CallerRequest young = world.request("/once/y", ServingWorld.KEY);
+    world.serving.serve(young, new RecordingSink());
+    othersNeed(16, 11_000, 0);
+    world.loop.advance(50);
+    assertEquals(world.transport.sends.get(0).call.request().target(), "/once/y");
+  }
+}
