--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/Attempt.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/Attempt.java
@@ -86,7 +86,6 @@
       return;
     }
     Choice choice = plan.choice();
-    plan.backend().kept().sent(plan.scope(), prompt, loop.millis());
     plan.backend()
         .timing()
         .sent(
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/Backend.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/Backend.java
@@ -46,7 +46,6 @@
   private int ejections;
   private long ejectedUntilMs;
   private long refusedUntilMs;
-  private boolean silent;
   private boolean replaced;
   private final KeptParts kept = new KeptParts();
   private final EngineTiming timing = new EngineTiming();
@@ -198,20 +197,6 @@
     return timing.msPerToken();
   }
 
-  /** Notes that the server does not answer what it is asked all the time. */
-  void fellSilent() {
-    silent = true;
-  }
-
-  /** Notes that the server answers. */
-  void spoke() {
-    silent = false;
-  }
-
-  boolean isSilent() {
-    return silent;
-  }
-
   /** Notes that another start has the server's address: this one is gone and never returns. */
   void replacedByAnother() {
     replaced = true;
@@ -221,8 +206,8 @@
     return replaced;
   }
 
-  /** Forgets what is guessed to be kept, after the server's weights changed. */
+  /** Forgets all parts, after the server's weights changed. */
   void forgetParts() {
-    kept.weightsChanged();
+    kept.clear();
   }
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/PartSources.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/PartSources.java
@@ -22,8 +22,8 @@
 import org.landingtrack.internal.serving.ServiceInfo.EngineInfo;
 
 /**
- * Where the shared parts of one prompt can be fetched from under one scope, and what that takes.
- * Stores keep what was saved there; engines keep what they read or fetched lately.
+ * Which stores the shared parts of one prompt can be fetched from under one scope, and what that
+ * takes.
  */
 final class PartSources {
   /** A move between data centres takes so many times as long; from the platform's pages. */
@@ -35,31 +35,13 @@
   /** A fetch must be expected to end within this share of the time that a belief lasts. */
   private static final double BELIEF_SHARE = 0.7;
 
-  /** How long a fetch from an engine may take: it is no more use to a caller who waits. */
-  private static final long ENGINE_FETCH_MS = PartStore.BELIEF_MS;
-
-  /** An engine that answers nothing new loses this much of a fetch. */
-  private static final double ENGINE_FIRST_MS = 4;
-
   private final String scope;
   private final Prompt prompt;
   private final EngineInfo info;
   private final PartStores stores;
   private final PeerLoads peerLoads;
   private final long now;
-  private final List<List<Source>> byPart = new ArrayList<>();
-
-  /** One that keeps a part: a store, or an engine if {@code store} is null. */
-  record Source(
-      String address, String dataCentre, @Nullable PartStore store, @Nullable Backend engine) {
-    static Source of(PartStore store) {
-      return new Source(store.info().address(), store.info().dataCentre(), store, null);
-    }
-
-    static Source of(Backend engine) {
-      return new Source(engine.entry().address(), engine.entry().dataCentre(), null, engine);
-    }
-  }
+  private final List<List<PartStore>> byPart = new ArrayList<>();
 
   /**
    * What an engine fetches.
@@ -69,19 +51,14 @@
    * @param ms the expected time until they are there
    * @param linkMs how long that keeps links busy
    */
-  record Fetch(List<@Nullable Source> sources, int tokens, double ms, double linkMs) {}
+  record Fetch(List<@Nullable PartStore> sources, int tokens, double ms, double linkMs) {}
 
-  /**
-   * Looks up who keeps the shared parts of a prompt.
-   *
-   * @param engines engines that tell what they keep
-   */
+  /** Looks up which stores keep the shared parts of a prompt. */
   PartSources(
       String scope,
       Prompt prompt,
       EngineInfo info,
       PartStores stores,
-      List<Backend> engines,
       PeerLoads peerLoads,
       long now) {
     this.scope = scope;
@@ -93,16 +70,7 @@
     int shared = prompt.parts().size() - 1;
     for (int i = 0; i < shared; i++) {
       Prompt.Part part = prompt.parts().get(i);
-      List<Source> found = new ArrayList<>();
-      for (PartStore store : stores.holding(scope, part, now)) {
-        found.add(Source.of(store));
-      }
-      for (Backend engine : engines) {
-        if (!engine.isSilent() && engine.kept().holds(scope, part, now)) {
-          found.add(Source.of(engine));
-        }
-      }
-      byPart.add(found);
+      byPart.add(stores.holding(scope, part, now));
     }
   }
 
@@ -114,7 +82,7 @@
    * @param patienceMs how long a fetch may take at least, to be better than reading
    */
   Fetch plan(Backend target, int keptTokens, double patienceMs) {
-    List<@Nullable Source> sources = new ArrayList<>();
+    List<@Nullable PartStore> sources = new ArrayList<>();
     int tokens = 0;
     double waitMs = 0;
     double linkMs = 0;
@@ -123,7 +91,7 @@
     for (int i = 0; i < byPart.size(); i++) {
       Prompt.Part part = prompt.parts().get(i);
       end += part.tokens();
-      Source source = best(i, target);
+      PartStore source = best(i, target);
       double partMs = source == null ? 0 : fetchMs(source, target, part.tokens());
       int lacking = Math.max(0, Math.min(part.tokens(), end - keptTokens));
       if (source != null && !isWorth(source, target, part.tokens(), partMs, patienceMs)) {
@@ -145,14 +113,11 @@
     return new Fetch(sources, tokens, waitMs + linkMs, linkMs);
   }
 
-  private @Nullable Source best(int index, Backend target) {
-    Source best = null;
+  private @Nullable PartStore best(int index, Backend target) {
+    PartStore best = null;
     double bestMs = Double.POSITIVE_INFINITY;
     int tokens = prompt.parts().get(index).tokens();
-    for (Source source : byPart.get(index)) {
-      if (source.engine() == target) {
-        continue;
-      }
+    for (PartStore source : byPart.get(index)) {
       double ms = fetchMs(source, target, tokens);
       if (ms < bestMs) {
         bestMs = ms;
@@ -162,30 +127,18 @@
     return best;
   }
 
-  private double fetchMs(Source source, Backend target, int tokens) {
-    double backlogMs = target.backlogMs(now, peerLoads);
-    double firstMs = ENGINE_FIRST_MS;
-    PartStore store = source.store();
-    if (store != null) {
-      backlogMs = Math.max(backlogMs, stores.backlogMs(store));
-      firstMs = store.info().firstMs();
-    }
-    return firstMs + backlogMs + linkMs(source, target, tokens);
+  private double fetchMs(PartStore source, Backend target, int tokens) {
+    double backlogMs = Math.max(target.backlogMs(now, peerLoads), stores.backlogMs(source));
+    return source.info().firstMs() + backlogMs + linkMs(source, target, tokens);
   }
 
-  private double linkMs(Source source, Backend target, int tokens) {
-    String targetCentre = target.entry().dataCentre();
-    PartStore store = source.store();
-    if (store != null) {
-      return store.linkMs(tokens, info, targetCentre);
-    }
-    double bytesPerMs = info.linkMbps() * PartStore.MEGABIT_BYTES / PartStore.MS_PER_SECOND;
-    double factor = source.dataCentre().equals(targetCentre) ? 1 : OTHER_DATA_CENTRE_FACTOR;
-    return tokens * factor * info.tokenBytes() / bytesPerMs;
+  private double linkMs(PartStore source, Backend target, int tokens) {
+    return source.linkMs(tokens, info, target.entry().dataCentre());
   }
 
-  private boolean isWorth(Source source, Backend target, int tokens, double ms, double patienceMs) {
-    double leftMs = source.store() == null ? ENGINE_FETCH_MS : source.store().fetchUntilMs() - now;
+  private boolean isWorth(
+      PartStore source, Backend target, int tokens, double ms, double patienceMs) {
+    double leftMs = source.fetchUntilMs() - now;
     double readMs = tokens * target.msPerToken();
     return ms <= Math.max(readMs * READ_PATIENCE, patienceMs) && ms <= leftMs * BELIEF_SHARE;
   }
@@ -203,11 +156,11 @@
         untilMs(fetch));
   }
 
-  private long untilMs(Fetch fetch) {
-    long until = now + ENGINE_FETCH_MS;
-    for (Source source : fetch.sources()) {
-      if (source != null && source.store() != null) {
-        until = Math.min(until, source.store().fetchUntilMs());
+  private static long untilMs(Fetch fetch) {
+    long until = Long.MAX_VALUE;
+    for (PartStore source : fetch.sources()) {
+      if (source != null) {
+        until = Math.min(until, source.fetchUntilMs());
       }
     }
     return until;
@@ -219,14 +172,12 @@
     for (int i = 0; i < fetch.sources().size(); i++) {
       Prompt.Part part = prompt.parts().get(i);
       end += part.tokens();
-      Source source = fetch.sources().get(i);
-      addresses.add(source == null ? "" : source.address());
+      PartStore source = fetch.sources().get(i);
+      addresses.add(source == null ? "" : source.info().address());
       if (source != null && end > keptTokens) {
         double linkMs = linkMs(source, target, part.tokens());
         target.backlog().add(request, linkMs, fetch.ms(), now);
-        if (source.store() != null) {
-          source.store().backlog().add(request, linkMs, fetch.ms(), now);
-        }
+        source.backlog().add(request, linkMs, fetch.ms(), now);
       }
     }
     return addresses;
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/SendPlanner.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/SendPlanner.java
@@ -117,7 +117,6 @@
                 Objects.requireNonNull(request.prompt()),
                 Objects.requireNonNull(info.engine()),
                 state.parts(),
-                state.servers().all(service),
                 state.peerLoads(),
                 loop.millis()));
   }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerBook.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerBook.java
@@ -140,17 +140,6 @@
     return forgotten;
   }
 
-  /** Returns the engines that may get requests: servers with weights that do not leave. */
-  public List<ServerEntry> engines() {
-    List<ServerEntry> engines = new ArrayList<>();
-    for (ServerEntry entry : entries()) {
-      if (!entry.leaving() && !entry.weightVersions().isEmpty()) {
-        engines.add(entry);
-      }
-    }
-    return engines;
-  }
-
   /** Returns the entries that are not gone. */
   public List<ServerEntry> entries() {
     List<ServerEntry> entries = new ArrayList<>();
@@ -184,11 +173,6 @@
     return backends.get(id);
   }
 
-  /** Returns all servers of a service, sound or not. */
-  List<Backend> all(String service) {
-    return byService.getOrDefault(service, List.of());
-  }
-
   /** Returns the servers of a service that may get a request now, the sound ones if there are. */
   List<Backend> usable(String service, Set<String> excluded) {
     long now = loop.millis();
@@ -208,7 +192,7 @@
         }
         continue;
       }
-      if (backend.isEjected(now) || backend.isSilent()) {
+      if (backend.isEjected(now)) {
         doubtful.add(backend);
         continue;
       }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerChooser.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerChooser.java
@@ -171,11 +171,11 @@
       int cacheTokens,
       Query query) {
     String scope = query.scope().apply(backend.weights(prompt.model()));
-    int kept = backend.kept().leadingTokens(scope, prompt, query.nowMs());
+    int kept = backend.kept().leadingTokens(scope, prompt);
     double patienceMs = TARGET_SHARE * query.targetLeftMs();
     Fetch fetch = query.sources().apply(scope).plan(backend, kept, patienceMs);
     int missing = prompt.tokens() - kept - fetch.tokens();
-    if (isHome && !backend.kept().isTold(query.nowMs()) && fetch.tokens() == 0) {
+    if (isHome && fetch.tokens() == 0) {
       missing -= (int) (HOME_KEPT * Math.max(0, sharedTokens(prompt) - kept));
     }
     long pending = backend.pendingTokens() + query.peerLoads().pendingTokens(backend.idHash());
