--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/DecisionLog.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/DecisionLog.java
@@ -32,6 +32,7 @@
    * @param expectedMs the expected time until it starts to answer
    * @param pendingTokens prompt tokens that the server has to read, as far as this VM knows
    * @param lagMs by how much the server's answers come later than known work explains
+   * @param memoryShare what part of an engine's memory requests need, this one among them
    * @param promptTokens tokens of the prompt
    * @param keptTokens leading ones that are probably kept by the server
    * @param fetchedTokens those after them that it fetches
@@ -47,6 +48,7 @@
       double expectedMs,
       long pendingTokens,
       double lagMs,
+      double memoryShare,
       int promptTokens,
       int keptTokens,
       int fetchedTokens,
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/EngineAdmission.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/EngineAdmission.java
@@ -41,6 +41,12 @@
   /** An engine's answer takes at least about so long. */
   private static final long LEAST_ANSWER_MS = 100;
 
+  /** Callers that are refused together come back spread over this time. */
+  private static final long RETRY_SPREAD_MS = 300;
+
+  /** A caller that comes back after more than this part of its time has too little left. */
+  private static final int RETRY_LEFT_PARTS = 4;
+
   private EngineAdmission() {}
 
   /** What becomes of a request now. */
@@ -69,6 +75,16 @@
     return expectedWaitMs + answerMs > leftMs ? Verdict.REFUSE : Verdict.WAIT;
   }
 
+  /**
+   * Returns when a caller that is refused should come back.
+   *
+   * @param callerHash spreads callers
+   */
+  static long retryAfterMs(long expectedWaitMs, long leftMs, long callerHash) {
+    long spreadMs = Math.floorMod(callerHash, RETRY_SPREAD_MS);
+    return Math.min(expectedWaitMs, leftMs / RETRY_LEFT_PARTS) + spreadMs;
+  }
+
   /** Returns true if an answer can no longer come within a route's target. */
   static boolean isLate(long ageMs, long targetMs) {
     return ageMs + LEAST_ANSWER_MS > targetMs;
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
@@ -16,16 +16,13 @@
 package org.landingtrack.internal.serving;
 
 import java.util.HashSet;
-import java.util.OptionalLong;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.landingtrack.ErrorKind;
 import org.landingtrack.internal.base.Hashes;
 import org.landingtrack.internal.serving.BackendTransport.AnswerHead;
-import org.landingtrack.internal.serving.BackendTransport.BackendCall;
 import org.landingtrack.internal.serving.BackendTransport.NotRunReason;
 import org.landingtrack.internal.serving.BackendTransport.StreamEvent;
-import org.landingtrack.internal.serving.DecisionLog.RouteFacts;
 import org.landingtrack.internal.serving.Route.Repeat;
 import org.landingtrack.internal.serving.SendPlanner.SendPlan;
 
@@ -41,12 +38,6 @@
   /** Less time than this is not worth another send. */
   private static final long MIN_LEFT_MS = 20;
 
-  /** Callers that are refused together come back spread over this time. */
-  private static final long RETRY_SPREAD_MS = 300;
-
-  /** A caller that comes back after more than this part of its time has too little left. */
-  private static final int RETRY_LEFT_PARTS = 4;
-
   /** When a caller should come back after a refusal for lack of a server. */
   private static final long RETRY_AFTER_MS = 250;
 
@@ -160,23 +151,11 @@
     PartMoves moves = current.moves(plan);
     sends++;
     tried.add(backend.entry().id());
-    serving.log().routed(this, facts(plan, moves));
+    serving.log().routed(this, current.facts(plan, moves, sends));
     Attempt next = new Attempt(request, plan, serving.state().parts(), loop, answers);
     attempt = next;
-    next.start(
-        serving.transport(),
-        new BackendCall(
-            request,
-            backend.entry().id(),
-            backend.entry().address(),
-            plan.info().connectionLimit(),
-            Math.max(1, endsAtMs - loop.millis()),
-            team == null ? null : team.name(),
-            plan.priority(),
-            plan.scope(),
-            moves,
-            plan.weights() > 0 ? OptionalLong.of(plan.weights()) : OptionalLong.empty(),
-            lastEventId));
+    long leftMs = Math.max(1, endsAtMs - loop.millis());
+    next.start(serving.transport(), current.call(plan, moves, leftMs, lastEventId));
   }
 
   /** Returns true if a request may be sent; otherwise it waits now, or was refused. */
@@ -204,8 +183,7 @@
       failWithout(why);
       return;
     }
-    long spreadMs = Math.floorMod(Hashes.placement(request.id()), RETRY_SPREAD_MS);
-    long retryMs = Math.min(waitMs, leftMs / RETRY_LEFT_PARTS) + spreadMs;
+    long retryMs = EngineAdmission.retryAfterMs(waitMs, leftMs, Hashes.placement(request.id()));
     refuse(ErrorKind.OVERLOADED, why, retryMs);
   }
 
@@ -221,27 +199,6 @@
     return current != null && EngineAdmission.isLate(ageMs(), current.targetLatencyMs());
   }
 
-  private RouteFacts facts(SendPlan plan, PartMoves moves) {
-    ServingConfig config = serving.state().config();
-    Prompt prompt = request.prompt();
-    return new RouteFacts(
-        plan.backend().entry().id(),
-        ageMs(),
-        sends,
-        plan.candidates(),
-        plan.choice().costMs(),
-        plan.choice().expectedMs(),
-        plan.backend().pendingTokens()
-            + serving.state().peerLoads().pendingTokens(plan.backend().idHash()),
-        plan.backend().timing().lagMs(loop.millis()),
-        prompt == null ? 0 : prompt.tokens(),
-        plan.choice().keptTokens(),
-        plan.choice().fetchedTokens(),
-        moves,
-        plan.weights(),
-        config == null ? 0 : config.version());
-  }
-
   private boolean maySendAgain() {
     Route current = route;
     boolean mayRepeat = !inDoubt || (current != null && current.repeat() != Repeat.NEVER);
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/SendPlanner.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/SendPlanner.java
@@ -25,6 +25,8 @@
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 import org.landingtrack.internal.base.Hashes;
+import org.landingtrack.internal.serving.BackendTransport.BackendCall;
+import org.landingtrack.internal.serving.DecisionLog.RouteFacts;
 import org.landingtrack.internal.serving.PartSources.Fetch;
 import org.landingtrack.internal.serving.ServerChooser.Choice;
 
@@ -175,6 +177,52 @@
     return sources.moves(request, choice.backend(), fetch, choice.keptTokens());
   }
 
+  /**
+   * Returns what the server is sent.
+   *
+   * @param leftMs how long it may work on it
+   * @param resumeAfter id of the last event that the caller already has, or null
+   */
+  BackendCall call(SendPlan plan, PartMoves moves, long leftMs, @Nullable String resumeAfter) {
+    ServerEntry entry = plan.backend().entry();
+    return new BackendCall(
+        request,
+        entry.id(),
+        entry.address(),
+        plan.info().connectionLimit(),
+        leftMs,
+        team == null ? null : team.name(),
+        plan.priority(),
+        plan.scope(),
+        moves,
+        plan.weights() > 0 ? OptionalLong.of(plan.weights()) : OptionalLong.empty(),
+        resumeAfter);
+  }
+
+  /** Returns what decided a send, for the log. */
+  RouteFacts facts(SendPlan plan, PartMoves moves, int sends) {
+    ServingConfig config = state.config();
+    Prompt prompt = request.prompt();
+    Choice choice = plan.choice();
+    Backend backend = plan.backend();
+    return new RouteFacts(
+        backend.entry().id(),
+        loop.millis() - request.receivedAtMs(),
+        sends,
+        plan.candidates(),
+        choice.costMs(),
+        choice.expectedMs(),
+        backend.pendingTokens() + state.peerLoads().pendingTokens(backend.idHash()),
+        backend.timing().lagMs(loop.millis()),
+        choice.memoryShare(),
+        prompt == null ? 0 : prompt.tokens(),
+        choice.keptTokens(),
+        choice.fetchedTokens(),
+        moves,
+        plan.weights(),
+        config == null ? 0 : config.version());
+  }
+
   OptionalLong newestWeights() {
     Prompt prompt = request.prompt();
     return prompt == null ? OptionalLong.empty() : state.newestWeights(prompt.model());
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/StructuredDecisionLog.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/StructuredDecisionLog.java
@@ -52,6 +52,7 @@
         .addKeyValue("expectedMs", Math.round(facts.expectedMs()))
         .addKeyValue("pendingTokens", facts.pendingTokens())
         .addKeyValue("lagMs", Math.round(facts.lagMs()))
+        .addKeyValue("memoryPercent", Math.round(100 * facts.memoryShare()))
         .addKeyValue("promptTokens", facts.promptTokens())
         .addKeyValue("keptTokens", facts.keptTokens())
         .addKeyValue("fetchedTokens", facts.fetchedTokens())
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/EngineAdmissionTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/EngineAdmissionTest.java
@@ -50,4 +50,11 @@
         new Choice(PartPlans.engine("e"), 0, null, waitMs, memory, waitMs + 100, 100, true, 0);
     assertEquals(EngineAdmission.decide(choice, ageMs, TARGET_MS, leftMs, expectedWaitMs), verdict);
   }
+
+  @Test
+  public void refusedCallersComeBackSpreadAndWithTimeLeft() {
+    assertEquals(EngineAdmission.retryAfterMs(500, 4_000, 0), 500);
+    assertEquals(EngineAdmission.retryAfterMs(9_000, 4_000, 0), 1_000);
+    assertEquals(EngineAdmission.retryAfterMs(500, 4_000, -1), 799);
+  }
 }
