A read of the Object API whose kept connection had been closed is repeated once

HttpObjectApiTest with a server that closes a kept connection at its next request failed with the same error before, passes now. Only reads are repeated, once, on a new connection, with a line in the log.

--- a/landingtrack/src/main/java/org/landingtrack/internal/platform/HttpObjectApi.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/platform/HttpObjectApi.java
@@ -16,7 +16,10 @@
 package org.landingtrack.internal.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.io.EOFException;
 import java.io.IOException;
+import java.net.ConnectException;
+import java.net.SocketException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -30,12 +33,16 @@
 import org.landingtrack.internal.base.Json;
 import org.landingtrack.internal.base.Ticker;
 import org.landingtrack.internal.platform.PlatformException.Reason;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The Object API over HTTP and JSON. Each call passes the call budget and the breaker first; one
  * that they hold back was not sent and had no effect.
  */
 public final class HttpObjectApi implements ObjectApi {
+  private static final Logger log = LoggerFactory.getLogger("store");
+
   private static final MediaType JSON_TYPE = MediaType.get("application/json");
   private static final long CALL_TIMEOUT_MS = 3_000;
   private static final long WATCH_SLACK_MS = 2_000;
@@ -127,13 +134,32 @@
   private Reply get(CallClass callClass, HttpUrl url, long timeoutMs) {
     admit(callClass, reads);
     try {
-      return call(new Request.Builder().url(url).build(), timeoutMs);
+      return callRead(new Request.Builder().url(url).build(), timeoutMs);
     } catch (IOException e) {
       breaker.failed();
       throw new PlatformException(Reason.UNAVAILABLE, "no answer: " + e);
     }
   }
 
+  /** A read changes nothing, so it goes out once more if its kept connection had been closed. */
+  private Reply callRead(Request request, long timeoutMs) throws IOException {
+    try {
+      return call(request, timeoutMs);
+    } catch (IOException e) {
+      if (!isClosedConnection(e)) {
+        throw e;
+      }
+      log.info("A read is repeated, since its connection was closed: {}.", e.toString());
+      client.connectionPool().evictAll();
+      return call(request, timeoutMs);
+    }
+  }
+
+  private static boolean isClosedConnection(IOException e) {
+    boolean reset = e instanceof SocketException && !(e instanceof ConnectException);
+    return reset || e.getCause() instanceof EOFException;
+  }
+
   private void admit(CallClass callClass, CallBudget budget) {
     if (!breaker.allows()) {
       throw new PlatformException(Reason.UNAVAILABLE, "the platform does not answer");
