Sight for replaced weights: how a VM heard of a naming, how old it took it to be, and what it knew when it sent

Cause: neither line told since when newer weights counted as named, so a request on older ones could not be traced to late learning, late beginning or a late rollout. Change: 'weights named' has heardBy and agoMs, 'routed' has newestWeights and newestForMs. No logic is changed.

--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/BoundedDecisionLog.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/BoundedDecisionLog.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import org.landingtrack.ErrorKind;
+import org.landingtrack.internal.serving.ServingState.Heard;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -134,7 +135,7 @@
   }
 
   @Override
-  public void weights(String model, long version, long revision) {
-    lines.weights(model, version, revision);
+  public void weights(String model, long version, long revision, Heard heard, long agoMs) {
+    lines.weights(model, version, revision, heard, agoMs);
   }
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/DecisionLog.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/DecisionLog.java
@@ -16,6 +16,7 @@
 package org.landingtrack.internal.serving;
 
 import org.landingtrack.ErrorKind;
+import org.landingtrack.internal.serving.ServingState.Heard;
 
 /** Hears of each decision that touches a request or changes what this VM believes. */
 public interface DecisionLog {
@@ -37,6 +38,9 @@
    * @param keptTokens leading ones that are probably kept by the server
    * @param fetchedTokens those after them that it fetches
    * @param moves parts that are fetched and saved
+   * @param weights the version that the server must have, or 0 where it does not matter
+   * @param newestWeights the newest version known, or 0
+   * @param newestForMs for how long that version counts as named
    * @param configVersion the configuration that named the service
    */
   record RouteFacts(
@@ -54,6 +58,8 @@
       int fetchedTokens,
       PartMoves moves,
       long weights,
+      long newestWeights,
+      long newestForMs,
       long configVersion) {}
 
   /** A try ended without an answer for the caller. */
@@ -77,6 +83,10 @@
   /** A configuration came into force. */
   void config(long version, long revision);
 
-  /** Weights of a model were named. */
-  void weights(String model, long version, long revision);
+  /**
+   * Weights of a model were named.
+   *
+   * @param agoMs for how long they count as named when this VM hears of them
+   */
+  void weights(String model, long version, long revision, Heard heard, long agoMs);
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/MeteredDecisionLog.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/MeteredDecisionLog.java
@@ -19,6 +19,7 @@
 import io.prometheus.metrics.core.metrics.Histogram;
 import org.landingtrack.ErrorKind;
 import org.landingtrack.internal.base.Metrics;
+import org.landingtrack.internal.serving.ServingState.Heard;
 
 /**
  * Counts decisions and passes them on to the log. Labels are services, of which a configuration has
@@ -109,7 +110,7 @@
   }
 
   @Override
-  public void weights(String model, long version, long revision) {
-    log.weights(model, version, revision);
+  public void weights(String model, long version, long revision, Heard heard, long agoMs) {
+    log.weights(model, version, revision, heard, agoMs);
   }
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/SendPlanner.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/SendPlanner.java
@@ -220,6 +220,8 @@
         choice.fetchedTokens(),
         moves,
         plan.weights(),
+        newestWeights().orElse(0),
+        prompt == null ? 0 : state.newestNamedForMs(prompt.model()),
         config == null ? 0 : config.version());
   }
 
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServingState.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServingState.java
@@ -50,7 +50,15 @@
   private final Map<String, Double> rolloutTurns = new HashMap<>();
   private @Nullable ServingConfig config;
 
-  /** A version of a model's weights, and since when it is known here. */
+  /** How this VM heard of something in the platform's store. */
+  public enum Heard {
+    /** By a list, which also holds what changed long ago. */
+    LIST,
+    /** By an open watch, at about the time of the change. */
+    WATCH
+  }
+
+  /** A version of a model's weights, and since when it counts as named. */
   public record NamedWeights(long version, long sinceMs) {}
 
   /**
@@ -86,13 +94,17 @@
     return parts.configure(next.partStores());
   }
 
-  /** Takes a named version of a model's weights unless a newer one is known. */
+  /** Takes a version of a model's weights that was named just now, unless a newer one is known. */
   public void nameWeights(String model, long version, long revision) {
-    nameWeights(model, version, revision, loop.millis());
+    nameWeights(model, version, revision, loop.millis(), Heard.WATCH);
   }
 
-  /** Takes a version of a model's weights that was named at some time before. */
-  public void nameWeights(String model, long version, long revision, long sinceMs) {
+  /**
+   * Takes a named version of a model's weights unless a newer one is known.
+   *
+   * @param sinceMs when it counts as named
+   */
+  public void nameWeights(String model, long version, long revision, long sinceMs, Heard heard) {
     List<NamedWeights> known = weights.computeIfAbsent(model, name -> new ArrayList<>());
     if (!known.isEmpty() && known.get(known.size() - 1).version() >= version) {
       return;
@@ -101,7 +113,7 @@
     if (known.size() > MAX_VERSIONS) {
       known.remove(0);
     }
-    log.weights(model, version, revision);
+    log.weights(model, version, revision, heard, loop.millis() - sinceMs);
   }
 
   /** Returns true once requests can be served. */
@@ -142,6 +154,12 @@
         : OptionalLong.of(known.get(known.size() - 1).version());
   }
 
+  /** Returns for how long the newest version of a model's weights counts as named; 0 for none. */
+  long newestNamedForMs(String model) {
+    List<NamedWeights> known = weights.getOrDefault(model, List.of());
+    return known.isEmpty() ? 0 : loop.millis() - known.get(known.size() - 1).sinceMs();
+  }
+
   /** Returns the newest version that was named so long ago that older ones must not be used. */
   OptionalLong oldestUsableWeights(String model, long oldWeightsMs) {
     OptionalLong oldest = OptionalLong.empty();
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/StructuredDecisionLog.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/StructuredDecisionLog.java
@@ -16,6 +16,7 @@
 package org.landingtrack.internal.serving;
 
 import org.landingtrack.ErrorKind;
+import org.landingtrack.internal.serving.ServingState.Heard;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.slf4j.event.Level;
@@ -59,6 +60,8 @@
         .addKeyValue("fetch", facts.moves().fetch())
         .addKeyValue("save", facts.moves().save())
         .addKeyValue("weights", facts.weights())
+        .addKeyValue("newestWeights", facts.newestWeights())
+        .addKeyValue("newestForMs", facts.newestForMs())
         .addKeyValue("configVersion", facts.configVersion())
         .log("routed");
   }
@@ -122,12 +125,14 @@
   }
 
   @Override
-  public void weights(String model, long version, long revision) {
+  public void weights(String model, long version, long revision, Heard heard, long agoMs) {
     weights
         .atInfo()
         .addKeyValue("model", model)
         .addKeyValue("version", version)
         .addKeyValue("revision", revision)
+        .addKeyValue("heardBy", heard)
+        .addKeyValue("agoMs", agoMs)
         .log("weights named");
   }
 }
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/DecisionLinesTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/DecisionLinesTest.java
@@ -24,6 +24,7 @@
 import java.util.List;
 import org.landingtrack.internal.base.CapturedLines;
 import org.landingtrack.internal.serving.BackendTransport.NotRunReason;
+import org.landingtrack.internal.serving.ServingState.Heard;
 import org.testng.annotations.Test;
 
 /** The lines that decisions leave on standard output. */
@@ -78,6 +79,35 @@
     }
   }
 
+  /** A request on older weights than named can be traced: who knew what, since when, and how. */
+  @Test
+  public void linesTellSinceWhenWeightsCountAsNamed() throws Exception {
+    try (CapturedLines captured = new CapturedLines()) {
+      ServingWorld world = new ServingWorld();
+      long heardMs = world.loop.millis();
+      world.state.nameWeights(ServingWorld.MODEL, 2, 7, heardMs - 3_000, Heard.LIST);
+      world.loop.advance(500);
+      world.serve("/once/x");
+      List<JsonNode> lines = parse(captured.lines());
+      JsonNode named = find(lines, "weights named");
+      assertEquals(named.path("heardBy").asText(), "LIST");
+      assertEquals(named.path("agoMs").asLong(), 3_000);
+      JsonNode routed = find(lines, "routed");
+      assertEquals(routed.path("weights").asLong(), 1);
+      assertEquals(routed.path("newestWeights").asLong(), 2);
+      assertEquals(routed.path("newestForMs").asLong(), 3_500);
+    }
+  }
+
+  private static JsonNode find(List<JsonNode> lines, String event) {
+    for (JsonNode line : lines) {
+      if (line.path("event").asText().equals(event)) {
+        return line;
+      }
+    }
+    throw new AssertionError("no line " + event);
+  }
+
   /** In a flood successes are counted instead of told, and failures keep all their lines. */
   @Test
   public void aFloodIsBoundedAndFailuresStayWhole() throws Exception {
