An engine is told by when it must have ended a request on replaced weights

Cause: the bound on older weights was checked when a request was sent, and it is promised for when it begins; 2.3 s in a slow engine's queue lay between. Class: a bound that is checked before a queue and not where it takes effect. Ruled out: a smaller margin or a shorter expected wait (beliefs about a slow engine are what was wrong); cancelling from the VM (some engines run on after a close, and the outcome of what may not be repeated would be in doubt). Change: the time that an engine is given ends 1.5 s after the last moment for such a send, half a second before the bound; an engine answers 'not run' to what it has not begun by then, so the request truthfully goes on elsewhere.

--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/SendPlanner.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/SendPlanner.java
@@ -35,6 +35,13 @@
  * state, and the parts that are moved.
  */
 final class SendPlanner {
+  /**
+   * An engine with replaced weights must have ended a request so long after the last moment at
+   * which it may be sent one. A request may wait in an engine's queue, for 2.3 s on played days
+   * with slow engines, and only the engine can keep it from beginning there too late.
+   */
+  private static final long REPLACED_RUN_MS = 1_500;
+
   private final CallerRequest request;
   private final Route route;
   private final @Nullable Team team;
@@ -190,7 +197,7 @@
         entry.id(),
         entry.address(),
         plan.info().connectionLimit(),
-        leftMs,
+        Math.min(leftMs, mayRunMs(plan)),
         team == null ? null : team.name(),
         plan.priority(),
         plan.scope(),
@@ -199,6 +206,16 @@
         resumeAfter);
   }
 
+  /** Returns how long a server may be at work by the weights that it must have. */
+  private long mayRunMs(SendPlan plan) {
+    Prompt prompt = request.prompt();
+    if (prompt == null || plan.weights() == 0) {
+      return Long.MAX_VALUE;
+    }
+    long replacedMs = options.oldWeightsMs() + REPLACED_RUN_MS;
+    return state.mayRunMs(prompt.model(), plan.weights(), replacedMs);
+  }
+
   /** Returns what decided a send, for the log. */
   RouteFacts facts(SendPlan plan, PartMoves moves, int sends) {
     ServingConfig config = state.config();
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServingState.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServingState.java
@@ -58,7 +58,11 @@
     WATCH
   }
 
-  /** A version of a model's weights, and since when it counts as named. */
+  /**
+   * A version of a model's weights.
+   *
+   * @param sinceMs when it may have been named at the earliest; bounds run from there
+   */
   public record NamedWeights(long version, long sinceMs) {}
 
   /**
@@ -102,7 +106,7 @@
   /**
    * Takes a named version of a model's weights unless a newer one is known.
    *
-   * @param sinceMs when it counts as named
+   * @param sinceMs when it may have been named at the earliest
    */
   public void nameWeights(String model, long version, long revision, long sinceMs, Heard heard) {
     List<NamedWeights> known = weights.computeIfAbsent(model, name -> new ArrayList<>());
@@ -171,6 +175,20 @@
     return oldest;
   }
 
+  /**
+   * Returns how long from now an engine may be at work on a version of a model's weights.
+   *
+   * @param replacedMs for so long after a newer version was named
+   */
+  long mayRunMs(String model, long version, long replacedMs) {
+    for (NamedWeights named : weights.getOrDefault(model, List.of())) {
+      if (named.version() > version) {
+        return Math.max(0, named.sinceMs() + replacedMs - loop.millis());
+      }
+    }
+    return Long.MAX_VALUE;
+  }
+
   /**
    * Returns the servers with older weights of a model than named, in the order in which they are to
    * load them: the oldest weights first, whose bound ends first. Every VM finds the same order, so
