Weights count as named since the store's last answer without them, not since they were read

Cause: what a watch told was taken as named at the moment of reading, what a list told as named 5 s before; a VM that had stood still, started, or had a silent connection used replaced weights up to 15 s after the naming. Class: a bound that runs from learning of a change instead of from the change. Ruled out: a later or earlier fixed age (right for one delay only); the time of day (VMs' clocks may jump); hearing from other VMs (their datagrams lie in the socket of a VM that stood still just as well). Change: DatedObjectApi remembers the store's answers; a change was made after the call of the last answer without it was sent, or after a watch in vain had waited.

--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/platform/DatedObjectApi.java
@@ -0,0 +1,116 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.platform;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.jspecify.annotations.Nullable;
+import org.landingtrack.internal.base.Ticker;
+
+/**
+ * An Object API that knows when changes were made at the earliest: after the last answer that lacks
+ * them.
+ *
+ * <p>What a process reads may be old by then: its connection may have fallen silent, it may have
+ * stood still while the answer lay in its socket, or it may just have started. A bound that runs
+ * from a change must not run from the moment of reading it. Thread-safe.
+ */
+public final class DatedObjectApi implements ObjectApi {
+  /** Answers of a prefix that are remembered; one for each of its changes in a bound's time. */
+  private static final int MAX_ANSWERS = 64;
+
+  private final ObjectApi api;
+  private final Ticker ticker;
+  private final Map<String, Deque<Answer>> answers = new HashMap<>();
+
+  /**
+   * An answer that told of all changes of a prefix up to a revision.
+   *
+   * @param atMs the earliest time at which it can have been made
+   */
+  private record Answer(long revision, long atMs) {}
+
+  public DatedObjectApi(ObjectApi api, Ticker ticker) {
+    this.api = api;
+    this.ticker = ticker;
+  }
+
+  /**
+   * Returns a moment after which a change of a prefix was made, the latest that is known; empty if
+   * no answer without the change is remembered.
+   */
+  public synchronized OptionalLong madeAfterMs(String prefix, long revision) {
+    Iterator<Answer> latestFirst = answersOf(prefix).descendingIterator();
+    while (latestFirst.hasNext()) {
+      Answer answer = latestFirst.next();
+      if (answer.revision() < revision) {
+        return OptionalLong.of(answer.atMs());
+      }
+    }
+    return OptionalLong.empty();
+  }
+
+  private Deque<Answer> answersOf(String prefix) {
+    return answers.computeIfAbsent(prefix, name -> new ArrayDeque<>());
+  }
+
+  private synchronized void note(String prefix, long revision, long atMs) {
+    Deque<Answer> known = answersOf(prefix);
+    @Nullable Answer last = known.peekLast();
+    if (last != null && revision < last.revision()) {
+      return;
+    }
+    if (last != null && revision == last.revision()) {
+      known.removeLast();
+    }
+    known.addLast(new Answer(revision, atMs));
+    if (known.size() > MAX_ANSWERS) {
+      known.removeFirst();
+    }
+  }
+
+  @Override
+  public Listing list(CallClass callClass, String prefix, String after, int limit) {
+    long sentMs = ticker.millis();
+    Listing all = api.list(callClass, prefix, after, limit);
+    note(prefix, all.revision(), sentMs);
+    return all;
+  }
+
+  @Override
+  public Listing watch(CallClass callClass, String prefix, long afterRevision, long waitMs) {
+    long sentMs = ticker.millis();
+    Listing changes = api.watch(callClass, prefix, afterRevision, waitMs);
+    boolean waited = changes.objects().isEmpty() && ticker.millis() - sentMs >= waitMs;
+    note(prefix, changes.revision(), waited ? sentMs + waitMs : sentMs);
+    return changes;
+  }
+
+  @Override
+  public Optional<StoredObject> read(CallClass callClass, String key) {
+    return api.read(callClass, key);
+  }
+
+  @Override
+  public StoredObject write(CallClass callClass, String key, String value, long expectedVersion) {
+    return api.write(callClass, key, value, expectedVersion);
+  }
+}
