--- a/landingtrack/src/main/java/org/landingtrack/internal/platform/ObjectFeed.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/platform/ObjectFeed.java
@@ -39,7 +39,7 @@
 
   private final ObjectApi api;
   private final String prefix;
-  private final long waitMs;
+  private final LongSupplier waitMs;
   private final LongSupplier gatherMs;
   private final Sink sink;
   private final Backoff backoff;
@@ -73,7 +73,7 @@
   public ObjectFeed(
       ObjectApi api,
       String prefix,
-      long waitMs,
+      LongSupplier waitMs,
       LongSupplier gatherMs,
       RandomGenerator random,
       Sink sink) {
@@ -126,7 +126,7 @@
       sink.replaced(all);
       return;
     }
-    Listing changes = api.watch(CallClass.CONFIGURATION, prefix, from, waitMs);
+    Listing changes = api.watch(CallClass.CONFIGURATION, prefix, from, waitMs.getAsLong());
     revision = Math.max(from, changes.revision());
     moreMayFollow = !changes.objects().isEmpty();
     if (moreMayFollow) {
