A server that had left is not brought back by a cut watch, nor a last resort since it was read

Cause: two bounds of leaving servers ran from when this VM learned something. (1) After any failure of the servers' watch, also one that was merely cut, the feed lists again and tells the store's return; for 2.5 s from then each server whose entry is gone counted as lapsed, also one that was seen to go long before, and got requests like a sound one. (2) A list's leaving servers counted as leaving since the list was read, and were a last resort for 1.4 s more. Ruled out: servers that state that they leave and then go (never in doubt); what the weights' bound does (other files). Change: only entries that went missing at the list of the return, or after it, are in doubt; returns within 2.5 s of each other are one trouble, so that a store that fails once more at once leaves the doubt. A list gives no last resort. put and remove also take when a change may have been made at the earliest, for whoever knows it. Conclusion: mended; what a list of a VM whose own connection was silent lacks is still in doubt for 2.5 s (not mendable here).

--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/Backend.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/Backend.java
@@ -37,6 +37,7 @@
   private ServerEntry entry;
   private final long idHash;
   private long goneAtMs = Long.MAX_VALUE;
+  private long heardGoneAtMs = Long.MIN_VALUE;
   private long leavingAtMs = Long.MAX_VALUE;
   private final Map<String, Long> learnedWeights = new HashMap<>();
   private int inFlight;
@@ -51,17 +52,18 @@
   private final EngineTiming timing = new EngineTiming();
   private final LinkBacklog backlog = new LinkBacklog();
 
-  Backend(ServerEntry entry, long nowMs) {
+  Backend(ServerEntry entry, long sinceMs) {
     this.entry = entry;
     this.idHash = Hashes.placement(entry.id());
-    update(entry, nowMs);
+    update(entry, sinceMs);
   }
 
-  void update(ServerEntry changed, long nowMs) {
+  /** Takes a changed entry; {@code sinceMs} is when it may have changed at the earliest. */
+  void update(ServerEntry changed, long sinceMs) {
     entry = changed;
     goneAtMs = Long.MAX_VALUE;
-    if (changed.leaving()) {
-      leavingAtMs = Math.min(leavingAtMs, nowMs);
+    if (changed.leaving() && leavingAtMs == Long.MAX_VALUE) {
+      leavingAtMs = sinceMs;
     }
   }
 
@@ -87,16 +89,22 @@
     return Math.max(listed, learnedWeights.getOrDefault(model, 0L));
   }
 
-  /** Notes that the server's entry was removed. */
-  void removed(long nowMs) {
-    goneAtMs = Math.min(goneAtMs, nowMs);
+  /** Notes that the server's entry was removed, since {@code sinceMs} at the earliest. */
+  void removed(long sinceMs, long nowMs) {
+    goneAtMs = sinceMs;
+    heardGoneAtMs = nowMs;
+  }
+
+  /** Returns when this VM heard that the entry was removed last. */
+  long heardGoneAtMs() {
+    return heardGoneAtMs;
   }
 
   boolean isRemoved() {
     return goneAtMs != Long.MAX_VALUE;
   }
 
-  /** Returns how long ago the server began to leave, or its entry went; -1 if neither. */
+  /** Returns how long ago the server may have begun to leave, or its entry gone; -1 if neither. */
   long leavingForMs(long nowMs) {
     long since = Math.min(goneAtMs, leavingAtMs);
     return since == Long.MAX_VALUE ? -1 : nowMs - since;
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerBook.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerBook.java
@@ -30,8 +30,10 @@
  * The backend servers that this VM knows, from their entries in the platform's store.
  *
  * <p>A leaving server gets no new request while others can serve; as a last resort it gets some for
- * {@code lastResortMs}. An entry that goes while the store is in trouble may only have lapsed: then
- * the server serves on until the store has been back for {@code lapsedMs}.
+ * {@code lastResortMs} since the change, or none where it may be older. An entry that goes while
+ * the store is in trouble may only have lapsed: then the server serves on until the store has been
+ * back for {@code lapsedMs}. What went before that is gone: without this, a watch that was cut let
+ * a server that had left get requests for up to 4.5 s, where 2 s are allowed.
  */
 public final class ServerBook {
   private final EventLoop loop;
@@ -41,8 +43,12 @@
   private final Map<String, Backend> backends = new HashMap<>();
   private final Map<String, List<Backend>> byService = new HashMap<>();
   private boolean known;
+  private long listedAtMs;
   private long storeBackAtMs;
 
+  /** Entries that went from then on may have lapsed, until the store has been back for a while. */
+  private long doubtSinceMs;
+
   /**
    * Creates an empty book.
    *
@@ -62,18 +68,29 @@
     return known;
   }
 
-  /** Notes that the store answers again after trouble. */
+  /**
+   * Notes that the store answers again after trouble; call it after {@link #replaceAll} took what
+   * the store has now. Failures that follow each other closely are one trouble.
+   */
   public void storeReturned() {
-    storeBackAtMs = loop.millis();
+    long now = loop.millis();
+    if (now - storeBackAtMs >= lapsedMs) {
+      doubtSinceMs = listedAtMs;
+    }
+    storeBackAtMs = now;
   }
 
-  /** Takes a full list; servers that it lacks are gone. */
+  /**
+   * Takes a full list; servers that it lacks are gone. It does not say since when a server leaves:
+   * one that was not seen to begin is no last resort.
+   */
   public void replaceAll(Collection<ServerEntry> entries, long revision) {
     known = true;
+    listedAtMs = loop.millis();
     Set<String> listed = new HashSet<>();
     for (ServerEntry entry : entries) {
       listed.add(entry.id());
-      put(entry, revision);
+      put(entry, revision, listedAtMs - lastResortMs);
     }
     for (String id : List.copyOf(backends.keySet())) {
       if (!listed.contains(id)) {
@@ -82,12 +99,16 @@
     }
   }
 
-  /** Takes a new or changed entry. */
+  /** Takes a new entry, or one that changed just now. */
   public void put(ServerEntry entry, long revision) {
-    long now = loop.millis();
+    put(entry, revision, loop.millis());
+  }
+
+  /** Takes a new or changed entry; {@code sinceMs} is when it may have changed at the earliest. */
+  public void put(ServerEntry entry, long revision, long sinceMs) {
     Backend backend = backends.get(entry.id());
     if (backend == null) {
-      backends.put(entry.id(), new Backend(entry, now));
+      backends.put(entry.id(), new Backend(entry, sinceMs));
       log.server("joined", entry, revision);
       index();
       return;
@@ -97,7 +118,7 @@
     if (!before.weightVersions().equals(entry.weightVersions())) {
       backend.forgetParts();
     }
-    backend.update(entry, now);
+    backend.update(entry, sinceMs);
     if (wasRemoved) {
       log.server("back", entry, revision);
     } else if (!before.equals(entry)) {
@@ -106,13 +127,18 @@
     index();
   }
 
-  /** Takes the removal of an entry. */
+  /** Takes the removal of an entry just now. */
   public void remove(String id, long revision) {
+    remove(id, revision, loop.millis());
+  }
+
+  /** Takes the removal of an entry; {@code sinceMs} is when it may have gone at the earliest. */
+  public void remove(String id, long revision, long sinceMs) {
     Backend backend = backends.get(id);
     if (backend == null || backend.isRemoved()) {
       return;
     }
-    backend.removed(loop.millis());
+    backend.removed(sinceMs, loop.millis());
     log.server("gone", backend.entry(), revision);
   }
 
@@ -202,6 +228,9 @@
   }
 
   private boolean mayHaveLapsed(Backend backend, long now) {
-    return backend.isRemoved() && !backend.entry().leaving() && now - storeBackAtMs < lapsedMs;
+    return backend.isRemoved()
+        && !backend.entry().leaving()
+        && backend.heardGoneAtMs() >= doubtSinceMs
+        && now - storeBackAtMs < lapsedMs;
   }
 }
