What a part store confirmed is taken back in time when the servers' clock is known better

Cause: the first answer that tells the servers' time defines it. Where it lay in a socket while the VM stood still, it seemed to be of now; the next answer corrected the clock, but the store stayed believed for 0.9 s from the reading. A fetch ordered then ends by the corrected clock, too late: the store may have started anew and be written. The same in small after any correction of a clock that was known late. Ruled out: a VM that stands still with the clock known (a late answer is not taken for new, and a fetch ends on the servers' clock); datagrams of a store's start before (they are older than what is known of it). Change: ServersClock.told returns by how much it was corrected; PartRelay makes all confirmations so much earlier. Conclusion: mended, but for a clock that is corrected between the plan of a fetch and a connect that takes up to 0.4 s.

--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/PartRelay.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/PartRelay.java
@@ -132,7 +132,7 @@
 
   private void take(StoreNews news, boolean askedHere) {
     long now = loop.millis();
-    clock.told(news.serversMs(), now);
+    parts.toldEarlier(clock.told(news.serversMs(), now));
     Relayed store = stores.computeIfAbsent(news.address(), name -> new Relayed());
     if (isOlderStart(store, news.epoch(), news.serversMs())) {
       return;
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/PartStore.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/PartStore.java
@@ -99,6 +99,11 @@
     confirmedAtMs = Math.max(confirmedAtMs, atMs);
   }
 
+  /** Notes that the store answered so much earlier than was taken. */
+  void confirmedEarlier(long ms) {
+    confirmedAtMs -= ms;
+  }
+
   void added(String key, int tokens) {
     Integer before = whole.put(key, tokens);
     heldTokens += tokens - (before == null ? 0 : before);
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/PartStores.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/PartStores.java
@@ -96,6 +96,15 @@
     return byAddress.get(address);
   }
 
+  /**
+   * Notes that what stores confirmed was told earlier than was taken. Without this, an answer that
+   * lay in the socket while this VM stood still, and was the first to tell the servers' time, was
+   * believed for 0.9 s as if it were new.
+   */
+  void toldEarlier(long ms) {
+    byAddress.values().forEach(store -> store.confirmedEarlier(ms));
+  }
+
   /** Takes all that a store kept at a time, each as SCOPE/PART with its tokens. */
   void listed(String address, long epoch, long atMs, Map<String, Integer> parts) {
     PartStore store = byAddress.get(address);
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServersClock.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServersClock.java
@@ -19,7 +19,9 @@
 
 /**
  * The clock that all backend servers share, as this VM knows it from what they tell. The way of an
- * answer makes a telling late, so the one that was least late counts. Runs on the event loop.
+ * answer makes a telling late, so the one that was least late counts. It is never taken to be
+ * further than it is, but may be known late: by how long the first answer lay in a socket while
+ * this VM stood still. Runs on the event loop.
  */
 public final class ServersClock {
   /** A difference that is never confirmed shrinks by one part in so many, for clocks that drift. */
@@ -29,15 +31,23 @@
   private long aheadMs;
   private long sinceMs;
 
-  /** Notes a time that a server told. */
-  public void told(long serversMs, long nowMs) {
+  /**
+   * Notes a time that a server told.
+   *
+   * @return by how much the servers' clock is further than was known: what was found to have been
+   *     told at a time of the event loop was told so much earlier
+   */
+  public long told(long serversMs, long nowMs) {
     long said = serversMs - nowMs;
     long driftMs = (nowMs - sinceMs) / DRIFT_PARTS;
-    if (!known || said >= aheadMs - driftMs) {
-      known = true;
-      aheadMs = said;
-      sinceMs = nowMs;
+    if (known && said < aheadMs - driftMs) {
+      return 0;
     }
+    long furtherMs = known ? Math.max(0, said - aheadMs) : 0;
+    known = true;
+    aheadMs = said;
+    sinceMs = nowMs;
+    return furtherMs;
   }
 
   /** Returns the servers' time at a time of the event loop; empty before any was told. */
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/PartRelayTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/PartRelayTest.java
@@ -157,6 +157,26 @@
     assertFalse(other.fetches());
   }
 
+  /**
+   * A VM that had just started stood still for ten seconds; meanwhile a store answered it, crashed
+   * and was written anew. The answer that had waited in the socket was the first that told the
+   * servers' time, so it seemed to be of now. The next one, of another store, corrected the clock,
+   * but the first store stayed believed as of now: a fetch that was ordered in that moment could
+   * meet a part that the store's new start was being written.
+   */
+  @Test
+  public void anAnswerThatWasReadLateIsNotBelievedOnceTheClockIsKnownBetter() {
+    StoreNews late = answer(1, 0, 1, kept("v1/a"));
+    loop.advance(10_000);
+    other.relay.heard(late);
+    StoreNews ofNow = new StoreNews("10.0.0.8:80", 1, loop.millis() + AHEAD_MS, 0, 0, List.of());
+    other.relay.heard(ofNow);
+    assertFalse(other.fetches());
+    loop.advance(100);
+    other.relay.heard(answer(1, 1, 1));
+    assertTrue(other.fetches(), "the store has just confirmed what it keeps");
+  }
+
   /** A list shows what a store never told; the VMs that rely on this one hear of it, too. */
   @Test
   public void whatAListShowsIsHandedOn() {
