A claim that was not confirmed is not given back by the controller itself

Cause: a committer took "not confirmed" for "refused, never runs" and removed the request's claim with its next commit. A gateway that does not hear that within 4 s (the controller answers after 3.5 s at the latest, unless it or the way stands still) asks the successor for the same request, which claims the key and lets it run. The first controller then freed the key of a request that ran; the caller's next try with that key ran as well. Only deployments with controllers are concerned. Ruled out: two committers at once (the update's version is the fence), stale content in memory (it only says TAKEN). Change: the gateway alone gives a claim back, as it already does for each request that it refuses. Conclusion: mended; a gateway's word that is lost leaves a key taken for 15 minutes, which is safe.

--- a/landingtrack/src/main/java/org/landingtrack/internal/claim/ClaimCommitter.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/claim/ClaimCommitter.java
@@ -119,11 +119,7 @@
     List<Verdict> verdicts = commit(group.stream().map(Waiting::wish).toList(), released);
     for (int i = 0; i < group.size(); i++) {
       Waiting one = group.get(i);
-      Verdict verdict = verdicts.get(i);
-      if (verdict.outcome() == Outcome.UNAVAILABLE) {
-        abandon(one.wish.by());
-      }
-      one.verdict.complete(verdict);
+      one.verdict.complete(verdicts.get(i));
     }
   }
 
@@ -145,16 +141,11 @@
     lastCommitNanos = System.nanoTime();
   }
 
-  /** A write without an answer may still hold this claim; its request is refused and never runs. */
-  private void abandon(String by) {
-    synchronized (waiting) {
-      if (abandoned.size() < MAX_WAITING) {
-        abandoned.add(by);
-      }
-    }
-  }
-
-  /** Commits a group; every wish is UNAVAILABLE if the platform does not confirm. */
+  /**
+   * Commits a group; every wish is UNAVAILABLE if the platform does not confirm. That is no reason
+   * to give a claim back: a gateway that did not hear it in time asks the next controller, and runs
+   * the request with that one's word. Only {@link #release} tells that it never runs.
+   */
   List<Verdict> commit(List<Wish> wishes, Set<String> released) {
     for (int tries = 0; tries < MAX_TRIES; tries++) {
       try {
--- a/landingtrack/src/test/java/org/landingtrack/internal/claim/ClaimCommitterTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/claim/ClaimCommitterTest.java
@@ -95,6 +95,25 @@
     assertEquals(one(committer(api), "k", "b"), Outcome.CLAIMED);
   }
 
+  /**
+   * A caller's request that must not be repeated ran twice. The owner of its key could not confirm
+   * the claim and said so, but stood still before its answer was out; after four seconds the
+   * gateway asked the successor, which confirmed the claim, and the request ran. The owner took the
+   * request as refused and gave the claim back with its next commit; the caller's second request
+   * got the key and ran as well. Only the gateway knows that a request never runs, and says so.
+   */
+  @Test
+  public void aClaimThatTheSuccessorConfirmedIsNotGivenBackByTheOwner() throws Exception {
+    FakeObjectApi api = new FakeObjectApi().failWrites(Fault.OUT);
+    try (ClaimCommitter owner = committer(api);
+        ClaimCommitter successor = committer(api)) {
+      assertEquals(owner.claim(new Wish("k", "a")).get().outcome(), Outcome.UNAVAILABLE);
+      assertEquals(successor.claim(new Wish("k", "a")).get().outcome(), Outcome.CLAIMED);
+      assertEquals(owner.claim(new Wish("other", "x")).get().outcome(), Outcome.CLAIMED);
+      assertEquals(owner.claim(new Wish("k", "b")).get().outcome(), Outcome.TAKEN);
+    }
+  }
+
   @Test
   public void aKeyIsFreeAgainAfterItsTime() {
     FakeObjectApi api = new FakeObjectApi();
