--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/ServerBookTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/ServerBookTest.java
@@ -136,6 +136,16 @@
     assertEquals(usable(), List.of());
   }
 
+  /** Whoever knows that a change was made long before it was heard of says so. */
+  @Test
+  public void aChangeThatWasHeardOfLateIsALastResortForLess() {
+    book.put(ServingWorld.leaving(engine("e1")), 2, loop.millis() - 1_000);
+    book.remove("e2", 3, loop.millis() - LAST_RESORT_MS);
+    assertEquals(usable(), List.of("e1"));
+    loop.advance(LAST_RESORT_MS - 1_000);
+    assertEquals(usable(), List.of());
+  }
+
   @Test
   public void aListLeavesTheTimeOfAServerThatWasSeenToBeginToLeave() {
     ServerEntry leaving = ServingWorld.leaving(engine("e1"));
