One call without an answer is no trouble of the store

Cause: a VM whose own connection was cut or silent took its next answer for the store's return from trouble, after which entries that are missing may only have lapsed: servers that had left got requests for up to 7.5 s, where 2 s are allowed. Change: a feed tells of trouble from the second failed call in a row. Ruled out: dating what a watch tells of servers as well: a last resort of 1.4 s is shorter than the time after which a VM that stood still counts as in touch (3 s).

--- a/landingtrack/src/main/java/org/landingtrack/internal/platform/ObjectFeed.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/platform/ObjectFeed.java
@@ -37,6 +37,13 @@
   private static final long MAX_PAUSE_MS = 400;
   private static final int ALL = Integer.MAX_VALUE;
 
+  /**
+   * Failures in a row that are trouble of the store; one is also the end of a connection that was
+   * cut or silent while the store was sound. Told as its return, that let servers which had left
+   * get requests for up to 7.5 s, where 2 s are allowed.
+   */
+  private static final int FAILURES_OF_TROUBLE = 2;
+
   private final ObjectApi api;
   private final String prefix;
   private final LongSupplier waitMs;
@@ -45,6 +52,7 @@
   private final Backoff backoff;
   private final Thread thread;
   private long revision = -1;
+  private int failures;
   private boolean lost;
   private boolean moreMayFollow;
   private volatile boolean closed;
@@ -93,27 +101,29 @@
 
   private void run() {
     while (!closed) {
-      try {
-        moreMayFollow = false;
-        step();
-        backoff.reset();
-        noteAnswer();
-        if (moreMayFollow) {
-          pause(gatherMs.getAsLong());
-        }
-      } catch (PlatformException e) {
-        if (e.reason() == PlatformException.Reason.TOO_OLD) {
-          log.info("The store's history of {} is gone; reads all.", prefix);
-          continue;
-        }
-        noteSilence(e);
-        pause(backoff.nextMs());
-      } catch (RuntimeException e) {
-        // What the store holds can't be read; the next version of it may be readable.
-        log.error("The feed of {} failed and goes on: {}.", prefix, e.toString());
-        pause(backoff.nextMs());
+      pause(attempt());
+    }
+  }
+
+  /** Reads once and tells of trouble; returns how long to pause then. Visible for tests. */
+  long attempt() {
+    try {
+      moreMayFollow = false;
+      step();
+      backoff.reset();
+      noteAnswer();
+      return moreMayFollow ? gatherMs.getAsLong() : 0;
+    } catch (PlatformException e) {
+      if (e.reason() == PlatformException.Reason.TOO_OLD) {
+        log.info("The store's history of {} is gone; reads all.", prefix);
+        return 0;
       }
+      noteSilence(e);
+    } catch (RuntimeException e) {
+      // What the store holds can't be read; the next version of it may be readable.
+      log.error("The feed of {} failed and goes on: {}.", prefix, e.toString());
     }
+    return backoff.nextMs();
   }
 
   /** Reads once; after a failure all is read again. Visible for tests. */
@@ -135,6 +145,7 @@
   }
 
   private void noteAnswer() {
+    failures = 0;
     if (lost) {
       lost = false;
       log.atInfo()
@@ -146,7 +157,8 @@
   }
 
   private void noteSilence(PlatformException e) {
-    if (!lost && !closed) {
+    failures++;
+    if (!lost && !closed && failures >= FAILURES_OF_TROUBLE) {
       lost = true;
       log.atWarn()
           .addKeyValue("prefix", prefix)
--- a/landingtrack/src/test/java/org/landingtrack/internal/platform/ObjectFeedTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/platform/ObjectFeedTest.java
@@ -91,6 +91,35 @@
     assertEquals(heard, List.of("all 1 at 1", "all 1 at 2"));
   }
 
+  /**
+   * A server that left without a word got requests for up to 7.5 s after its entry went. The VM's
+   * connection to the store had gone silent, while the store was sound; the first call on a new one
+   * was answered. The feed told of the store's return from trouble, after which a missing entry may
+   * only have lapsed. A store in trouble fails more than the one call whose connection was cut.
+   */
+  @Test
+  public void aCutConnectionIsNoTroubleOfTheStore() {
+    feed.attempt();
+    api.out(true);
+    feed.attempt();
+    api.out(false);
+    feed.attempt();
+    assertEquals(heard, List.of("all 0 at 0", "all 0 at 0"));
+  }
+
+  @Test
+  public void aStoreThatFailsSeveralCallsIsLostAndRegainedOnce() {
+    feed.attempt();
+    api.out(true);
+    feed.attempt();
+    feed.attempt();
+    feed.attempt();
+    api.out(false);
+    feed.attempt();
+    feed.attempt();
+    assertEquals(heard, List.of("all 0 at 0", "lost", "all 0 at 0", "regained"));
+  }
+
   private void put(String key, String value, long version) {
     var unused = api.write(CallClass.CONFIGURATION, key, value, version);
   }
