What a watch tells is dated to the second where the process did not stand still; a refusal of new weights is believed

Change: Awake notes when the process stands still; while it does not, an answer was made at most a second before it is read, and a watch that was not answered at once had nothing to tell before. Watches of weights wait like the others again. Sends on older weights end 1.2 s before the bound (was 2 s), since what has not begun is withdrawn 0.5 s before it. A refused demand for the newest weights forgets what was learned of the engine. Measured: DatedObjectApiTest, LateLearningTest, ReplacedWeightsTest, ObjectFeedTest green.

--- a/landingtrack/src/main/java/org/landingtrack/internal/platform/DatedObjectApi.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/platform/DatedObjectApi.java
@@ -23,6 +23,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.jspecify.annotations.Nullable;
+import org.landingtrack.internal.base.Awake;
 import org.landingtrack.internal.base.Ticker;
 
 /**
@@ -38,26 +39,32 @@
   private static final int MAX_ANSWERS = 64;
 
   /**
-   * A watch in vain is taken to have waited at the store if its answer was read at most so much
-   * later. One that was read later may have ended early, and have lain in the socket while this
-   * process stood still.
+   * An answer is read at most so long after the store made it, unless this process stood still
+   * meanwhile. A path to the store that is cut shows within 3 s, and bounds leave a margin for it.
    */
   private static final long READ_MS = 1_000;
 
   private final ObjectApi api;
   private final Ticker ticker;
+  private final Awake awake;
   private final Map<String, Deque<Answer>> answers = new HashMap<>();
 
   /**
-   * An answer that told of all changes of a prefix up to a revision.
+   * What an answer proves: there was no change of a prefix after a revision.
    *
    * @param atMs the earliest time at which it can have been made
    */
   private record Answer(long revision, long atMs) {}
 
-  public DatedObjectApi(ObjectApi api, Ticker ticker) {
+  /**
+   * Creates a dated view.
+   *
+   * @param awake tells whether an answer may have lain in a socket
+   */
+  public DatedObjectApi(ObjectApi api, Ticker ticker, Awake awake) {
     this.api = api;
     this.ticker = ticker;
+    this.awake = awake;
   }
 
   /**
@@ -106,13 +113,19 @@
   public Listing watch(CallClass callClass, String prefix, long afterRevision, long waitMs) {
     long sentMs = ticker.millis();
     Listing changes = api.watch(callClass, prefix, afterRevision, waitMs);
-    boolean waited = changes.objects().isEmpty() && isReadInTime(sentMs + waitMs, ticker.millis());
-    note(prefix, changes.revision(), waited ? sentMs + waitMs : sentMs);
+    long madeMs = madeMs(sentMs);
+    if (madeMs > sentMs) {
+      // Nothing was to be told when the store got the call, or it had answered at once.
+      note(prefix, afterRevision, madeMs);
+    }
+    note(prefix, changes.revision(), madeMs);
     return changes;
   }
 
-  private static boolean isReadInTime(long dueMs, long nowMs) {
-    return nowMs >= dueMs && nowMs <= dueMs + READ_MS;
+  /** Returns when an answer that was just read can have been made at the earliest. */
+  private long madeMs(long sentMs) {
+    boolean mayHaveLain = awake.forMs() < READ_MS;
+    return mayHaveLain ? sentMs : Math.max(sentMs, ticker.millis() - READ_MS);
   }
 
   @Override
--- a/landingtrack/src/main/java/org/landingtrack/internal/platform/ObjectFeed.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/platform/ObjectFeed.java
@@ -46,7 +46,7 @@
 
   private final ObjectApi api;
   private final String prefix;
-  private final LongSupplier waitMs;
+  private final long waitMs;
   private final LongSupplier gatherMs;
   private final Sink sink;
   private final Backoff backoff;
@@ -81,7 +81,7 @@
   public ObjectFeed(
       ObjectApi api,
       String prefix,
-      LongSupplier waitMs,
+      long waitMs,
       LongSupplier gatherMs,
       RandomGenerator random,
       Sink sink) {
@@ -136,7 +136,7 @@
       sink.replaced(all);
       return;
     }
-    Listing changes = api.watch(CallClass.CONFIGURATION, prefix, from, waitMs.getAsLong());
+    Listing changes = api.watch(CallClass.CONFIGURATION, prefix, from, waitMs);
     revision = Math.max(from, changes.revision());
     moreMayFollow = !changes.objects().isEmpty();
     if (moreMayFollow) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/Attempt.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/Attempt.java
@@ -140,12 +140,21 @@
     }
   }
 
-  /** Notes that the server has other weights than it was believed to have. */
+  /**
+   * Notes that the server has other weights than it was asked for: newer ones if those were older,
+   * and otherwise not the newest yet. Taking it to have the newest all the same had it asked over
+   * and over again: 2,708 refusals on a day when engines loaded late.
+   */
   void refusedWeights(ServingState state) {
     Prompt prompt = request.prompt();
-    if (prompt != null) {
-      long newest = state.newestWeights(prompt.model()).orElse(0);
+    if (prompt == null) {
+      return;
+    }
+    long newest = state.newestWeights(prompt.model()).orElse(0);
+    if (plan.weights() < newest) {
       plan.backend().refusedWeights(prompt.model(), newest);
+    } else {
+      plan.backend().lacksWeights(prompt.model(), loop.millis());
     }
   }
 
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/Backend.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/Backend.java
@@ -181,6 +181,12 @@
     }
   }
 
+  /** Notes that the server does not have the newest weights: what its entry says counts again. */
+  void lacksWeights(String model, long nowMs) {
+    learnedWeights.remove(model);
+    refused(nowMs);
+  }
+
   /** Returns which parts of prompts the server probably keeps. */
   KeptParts kept() {
     return kept;
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/SendPlanner.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/SendPlanner.java
@@ -40,7 +40,7 @@
    * for such a send; that leaves half a second of the bound. Requests waited 2.3 s in the queues of
    * slow engines.
    */
-  private static final long BEGIN_MS = 1_500;
+  private static final long BEGIN_MS = 700;
 
   private final CallerRequest request;
   private final Route route;
