Rollout of weights waits for no engine: reports as they come, unanswered orders in turn, drains hold a place for 2 s

Silent engines are asked each second all the same, and are not waited for.

Change: reports and orders run on callers of their own; a look only starts them, so that the lease is renewed each 0.45 s whatever engines do. An engine whose order had no effect goes behind the others. One that still ends requests holds a place for 2 s. An order ends with the holding under which it was decided, also where it waited for a caller and this process won a newer one.

--- a/landingtrack/src/main/java/org/landingtrack/internal/weights/VersionRollout.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/weights/VersionRollout.java
@@ -16,17 +16,18 @@
 package org.landingtrack.internal.weights;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.Future;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.function.Supplier;
 import java.util.function.ToIntFunction;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.landingtrack.internal.base.Duty;
 import org.landingtrack.internal.base.Ticker;
@@ -45,15 +46,20 @@
  * <p>Engines that do not check fences must never hear from two holders at about the same time: the
  * first order of a holding waits until every order of the holder before is over, unless that was
  * this process itself or there was none.
+ *
+ * <p>No look waits for an engine: reports are used as they come. A look that waited took up to 0.95
+ * s, longer than the lease is held without a renewal, so that it was lost up to six times in a
+ * rollout.
+ *
+ * <p>{@link #step} is called by one thread; reports and orders run on callers of their own.
  */
 public final class VersionRollout implements AutoCloseable {
   private static final Logger log = LoggerFactory.getLogger("weights");
   private static final long STEP_MS = 150;
   private static final int STEPS_PER_RENEWAL = 3;
-  private static final int CALLERS = 8;
 
-  /** Reports are up to this old, by some hundred milliseconds more than engines say. */
-  private static final long REPORT_LAG_MS = 600;
+  /** Callers for reports, and as many for orders: silent engines hold up no order. */
+  private static final int CALLERS = 8;
 
   /** The last holder goes first; others wait so many steps before they seek the lease. */
   private static final int STEPS_FOR_LAST_HOLDER = 3;
@@ -65,10 +71,9 @@
   private final Ticker ticker;
   private final long settleMs;
   private final ToIntFunction<String> loadsAtOnce;
+  private final ExecutorService reportCallers;
+  private final ExecutorService orderCallers;
   private final Duty duty = Duty.start("weights", 4);
-  private final ExecutorService callers =
-      Executors.newFixedThreadPool(CALLERS, Duty.daemon("weights-calls"));
-  private final Map<String, Ordered> ordered = new ConcurrentHashMap<>();
   private long steps;
   private long idleSteps;
   private long laggingSteps;
@@ -76,7 +81,14 @@
   private long heldSinceMs;
   private boolean settled;
 
-  private record Ordered(long version, long ordersTaken, long atMs) {}
+  /** Guards the fields below and the views in them. */
+  private final Object lock = new Object();
+
+  private final Map<String, EngineView> views = new HashMap<>();
+  private List<Task> tasks = List.of();
+
+  /** The last holding that has settled: only under it orders are given. */
+  private long settledEpoch = -1;
 
   /** An engine that has older weights than named. */
   public record Task(Engine engine, String model, long version) {}
@@ -96,6 +108,29 @@
       Ticker ticker,
       long settleMs,
       ToIntFunction<String> loadsAtOnce) {
+    this(
+        self,
+        lagging,
+        lease,
+        control,
+        ticker,
+        settleMs,
+        loadsAtOnce,
+        Executors.newFixedThreadPool(CALLERS, Duty.daemon("weights-reports")),
+        Executors.newFixedThreadPool(CALLERS, Duty.daemon("weights-orders")));
+  }
+
+  /** Creates a rollout whose calls to engines run where a test says; it closes the callers. */
+  VersionRollout(
+      String self,
+      Supplier<List<Task>> lagging,
+      Lease lease,
+      EngineControl control,
+      Ticker ticker,
+      long settleMs,
+      ToIntFunction<String> loadsAtOnce,
+      ExecutorService reportCallers,
+      ExecutorService orderCallers) {
     this.self = self;
     this.lagging = lagging;
     this.lease = lease;
@@ -103,6 +138,8 @@
     this.ticker = ticker;
     this.settleMs = settleMs;
     this.loadsAtOnce = loadsAtOnce;
+    this.reportCallers = reportCallers;
+    this.orderCallers = orderCallers;
   }
 
   /** Starts looking for engines that lag. */
@@ -110,10 +147,11 @@
     duty.every(STEP_MS, this::step);
   }
 
-  /** Looks once. */
+  /** Looks once; waits for the store, never for an engine. */
   void step() {
-    List<Task> tasks = lagging.get();
-    if (tasks.isEmpty()) {
+    List<Task> now = lagging.get();
+    follow(now);
+    if (now.isEmpty()) {
       rest();
       return;
     }
@@ -135,7 +173,7 @@
       return;
     }
     settled = true;
-    roll(tasks);
+    askAll(epoch.getAsLong());
   }
 
   /** Gives the lease back when nothing lags for a while. */
@@ -164,66 +202,119 @@
         .log("lease won");
   }
 
-  private void roll(List<Task> tasks) {
-    Map<Task, Future<@Nullable Report>> asked = new HashMap<>();
-    for (Task task : tasks) {
-      asked.put(task, callers.submit(() -> ask(task)));
+  /** Takes what is to be done now. */
+  private void follow(List<Task> now) {
+    synchronized (lock) {
+      tasks = now;
+      views
+          .keySet()
+          .retainAll(now.stream().map(task -> task.engine().id()).collect(Collectors.toSet()));
+    }
+  }
+
+  /** Asks all engines that lag, under a holding that has settled. */
+  private void askAll(long epoch) {
+    Map<Task, EngineView> asked = new LinkedHashMap<>();
+    synchronized (lock) {
+      settledEpoch = epoch;
+      for (Task task : tasks) {
+        EngineView view = view(task);
+        if (view.beginAsk(ticker.millis())) {
+          asked.put(task, view);
+        }
+      }
+      orderNext();
+    }
+    asked.forEach((task, view) -> run(reportCallers, () -> ask(task, view)));
+  }
+
+  private EngineView view(Task task) {
+    return views.computeIfAbsent(task.engine().id(), id -> new EngineView());
+  }
+
+  private void ask(Task task, EngineView view) {
+    Report report = reportOf(task.engine());
+    synchronized (lock) {
+      view.endAsk(report);
+      orderNext();
+    }
+  }
+
+  private @Nullable Report reportOf(Engine engine) {
+    try {
+      return control.report(engine);
+    } catch (EngineSilentException e) {
+      log.atDebug().addKeyValue("server", engine.id()).log("engine silent");
+    } catch (RuntimeException e) {
+      log.warn("A call to an engine failed: {}.", e.toString());
     }
+    return null;
+  }
+
+  /** Gives orders as far as places are free, in turn. Call it under the lock. */
+  private void orderNext() {
+    if (!mayOrder(settledEpoch)) {
+      return;
+    }
+    long nowMs = ticker.millis();
     int loading = 0;
-    List<Task> idle = new ArrayList<>();
-    Map<Task, Report> reports = new HashMap<>();
     for (Task task : tasks) {
-      Report report = result(asked.get(task));
-      if (report == null) {
-        continue;
+      loading += view(task).holdsPlace(task.version(), nowMs) ? 1 : 0;
+    }
+    for (Task task : inTurn()) {
+      EngineView view = view(task);
+      if (loading >= loadsAtOnce.applyAsInt(task.model()) || view.isAwaited(nowMs)) {
+        return;
       }
-      if (report.busy() || mayNotShowYet(task, report)) {
+      Report report = view.readyFor(task.model(), task.version());
+      if (report != null) {
         loading++;
-      } else if (report.weightVersions().getOrDefault(task.model(), 0L) < task.version()) {
-        idle.add(task);
-        reports.put(task, report);
+        give(task, report, view);
       }
     }
-    List<Future<?>> orders = new ArrayList<>();
-    for (Task task : idle) {
-      Report report = reports.get(task);
-      if (loading >= loadsAtOnce.applyAsInt(task.model()) || report == null) {
-        break;
-      }
-      loading++;
-      orders.add(callers.submit(() -> order(task, report)));
-    }
-    orders.forEach(VersionRollout::result);
   }
 
-  /** Reports are some time old: an order that was given just now may not show in them. */
-  private boolean mayNotShowYet(Task task, Report report) {
-    Ordered last = ordered.get(task.engine().id());
-    return last != null
-        && last.version == task.version()
-        && report.ordersTaken() <= last.ordersTaken
-        && ticker.millis() - last.atMs < REPORT_LAG_MS;
+  /** An engine whose order had no effect yet goes behind the others, the longest ago first. */
+  private List<Task> inTurn() {
+    List<Task> turns = new ArrayList<>(tasks);
+    turns.sort(Comparator.comparingLong(task -> view(task).lastOrderMs(task.version())));
+    return turns;
+  }
+
+  private boolean mayOrder(long epoch) {
+    OptionalLong token = lease.token();
+    return token.isPresent() && token.getAsLong() == epoch;
   }
 
-  private @Nullable Report ask(Task task) {
+  private void give(Task task, Report report, EngineView view) {
+    long epoch = settledEpoch;
+    view.beginOrder();
+    run(orderCallers, () -> order(task, report, view, epoch));
+  }
+
+  private void order(Task task, Report report, EngineView view, long epoch) {
     try {
-      return control.report(task.engine());
-    } catch (EngineSilentException e) {
-      log.atDebug().addKeyValue("server", task.engine().id()).log("engine silent");
-      return null;
+      send(task, report, view, epoch);
+    } catch (RuntimeException e) {
+      log.warn("A call to an engine failed: {}.", e.toString());
+    } finally {
+      synchronized (lock) {
+        view.endOrder();
+      }
     }
   }
 
-  private void order(Task task, Report report) {
-    // Asked again right before the order: the holding may have ended meanwhile.
-    OptionalLong epoch = lease.token();
-    if (epoch.isEmpty()) {
+  private void send(Task task, Report report, EngineView view, long epoch) {
+    // Asked again right before the order: that holding may have ended meanwhile, and a newer one
+    // of this process may have to settle first.
+    if (!mayOrder(epoch)) {
       return;
     }
+    synchronized (lock) {
+      view.noteSent(task.version(), report.ordersTaken(), ticker.millis());
+    }
     LoadOrder order =
-        new LoadOrder(task.model(), task.version(), report.ordersTaken(), self, epoch.getAsLong());
-    Ordered given = new Ordered(task.version(), report.ordersTaken(), ticker.millis());
-    ordered.put(task.engine().id(), given);
+        new LoadOrder(task.model(), task.version(), report.ordersTaken(), self, epoch);
     Outcome outcome = control.load(task.engine(), order);
     log.atInfo()
         .addKeyValue("server", task.engine().id())
@@ -235,25 +326,19 @@
         .log("load ordered");
   }
 
-  private static <T> @Nullable T result(@Nullable Future<T> future) {
-    if (future == null) {
-      return null;
-    }
+  private static void run(ExecutorService callers, Runnable call) {
     try {
-      return future.get();
-    } catch (ExecutionException e) {
-      log.warn("A call to an engine failed: {}.", String.valueOf(e.getCause()));
-      return null;
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-      return null;
+      callers.execute(call);
+    } catch (RejectedExecutionException e) {
+      // The rollout was closed: nothing is asked or ordered any more.
     }
   }
 
   @Override
   public void close() {
     duty.close();
-    callers.shutdownNow();
+    reportCallers.shutdownNow();
+    orderCallers.shutdownNow();
     lease.release();
   }
 }
--- a/landingtrack/src/test/java/org/landingtrack/internal/weights/VersionRolloutTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/weights/VersionRolloutTest.java
@@ -16,6 +16,7 @@
 package org.landingtrack.internal.weights;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
@@ -23,6 +24,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import org.landingtrack.internal.base.FakeTicker;
 import org.landingtrack.internal.lease.Lease;
 import org.landingtrack.internal.platform.FakeObjectApi;
@@ -38,6 +40,8 @@
   private FakeTicker ticker = new FakeTicker();
   private FakeObjectApi api = new FakeObjectApi();
   private Engines engines = new Engines();
+  private CallsByHand reportCalls = new CallsByHand();
+  private CallsByHand orderCalls = new CallsByHand();
 
   @BeforeMethod
   public void newWorld() {
@@ -45,12 +49,16 @@
     ticker.pass(100_000);
     api = new FakeObjectApi();
     engines = new Engines();
+    reportCalls = new CallsByHand();
+    orderCalls = new CallsByHand();
   }
 
   /** Engines whose reports are as old as the test says; loads end when it says. */
   private static final class Engines implements EngineControl {
     final List<String> orders = Collections.synchronizedList(new ArrayList<>());
     final Map<String, Report> reports = new HashMap<>();
+    final List<String> asked = new ArrayList<>();
+    Outcome outcome = Outcome.TAKEN;
 
     Engines() {
       for (int i = 1; i <= 6; i++) {
@@ -60,6 +68,7 @@
 
     @Override
     public Report report(Engine engine) {
+      asked.add(engine.id());
       Report report = reports.get(engine.id());
       if (report == null) {
         throw new EngineSilentException(engine.id(), new java.io.IOException("dark"));
@@ -70,7 +79,7 @@
     @Override
     public Outcome load(Engine engine, LoadOrder order) {
       orders.add(engine.id() + " v" + order.version() + " epoch " + order.epoch());
-      return Outcome.TAKEN;
+      return outcome;
     }
 
     List<Task> lagging(long version) {
@@ -87,7 +96,8 @@
 
   private VersionRollout rollout(String self, List<Task> tasks) {
     Lease lease = new Lease(api, ticker, "weights", self, LEASE_MS);
-    return new VersionRollout(self, () -> tasks, lease, engines, ticker, SETTLE_MS, model -> 3);
+    return new VersionRollout(
+        self, () -> tasks, lease, engines, ticker, SETTLE_MS, model -> 3, reportCalls, orderCalls);
   }
 
   private void steps(VersionRollout rollout, int count) {
@@ -167,6 +177,117 @@
     assertEquals(api.writes(), 0);
   }
 
+  /** Unanswered orders may be carried out seconds later: meanwhile the others have their turn. */
+  @Test
+  public void anUnansweredOrderHoldsUpNoOtherEngine() {
+    engines.outcome = EngineControl.Outcome.UNKNOWN;
+    steps(rollout("a", engines.lagging(2)), 9);
+    assertEquals(servers(), List.of("e1", "e2", "e3", "e4", "e5", "e6"));
+  }
+
+  /** Orders without an effect come round again, the longest ago first. */
+  @Test
+  public void unansweredOrdersAreRepeatedInTurn() {
+    engines.outcome = EngineControl.Outcome.UNKNOWN;
+    steps(rollout("a", engines.lagging(2)), 16);
+    assertEquals(
+        servers(), List.of("e1", "e2", "e3", "e4", "e5", "e6", "e1", "e2", "e3", "e4", "e5", "e6"));
+  }
+
+  /** Ten requests at a sixth of the usual speed keep an engine from loading for 8 s. */
+  @Test
+  public void anEngineThatStillEndsRequestsHoldsItsPlaceForAWhileOnly() {
+    VersionRollout rollout = rollout("a", engines.lagging(2));
+    steps(rollout, 4);
+    firstThreeBusy(10);
+    steps(rollout, (int) (EngineView.DRAIN_PLACE_MS / STEP_MS));
+    assertEquals(servers(), List.of("e1", "e2", "e3"));
+    steps(rollout, 2);
+    assertEquals(servers(), List.of("e1", "e2", "e3", "e4", "e5", "e6"));
+  }
+
+  @Test
+  public void anEngineThatLoadsKeepsItsPlace() {
+    VersionRollout rollout = rollout("a", engines.lagging(2));
+    steps(rollout, 4);
+    firstThreeBusy(0);
+    steps(rollout, 60);
+    assertEquals(servers(), List.of("e1", "e2", "e3"));
+  }
+
+  /** A report that never comes must not keep the lease from being renewed. */
+  @Test
+  public void whileAnEngineDoesNotAnswerTheLeaseIsKeptAndTheOthersLoad() {
+    VersionRollout rollout = rollout("a", engines.lagging(2));
+    engines.outcome = EngineControl.Outcome.UNKNOWN;
+    reportCalls.hold();
+    steps(rollout, 4);
+    Runnable never = reportCalls.takeFirst();
+    reportCalls.release();
+    steps(rollout, 30);
+    assertTrue(servers().containsAll(List.of("e2", "e3", "e4", "e5", "e6")), servers().toString());
+    assertFalse(servers().contains("e1"), "ordered without a report: " + never);
+    for (String order : engines.orders) {
+      assertTrue(order.endsWith("epoch 1"), "the lease was lost: " + engines.orders);
+    }
+  }
+
+  /** Requests go elsewhere before a load begins, by the order of the tasks: it is kept. */
+  @Test
+  public void aReportThatComesSoonKeepsTheTurn() {
+    VersionRollout rollout = rollout("a", engines.lagging(2));
+    reportCalls.hold();
+    steps(rollout, 3);
+    rollout.step();
+    Runnable first = reportCalls.takeFirst();
+    reportCalls.run(5);
+    assertEquals(servers(), List.of());
+    ticker.pass(EngineView.PATIENCE_MS - 1);
+    first.run();
+    assertEquals(servers(), List.of("e1", "e2", "e3"));
+  }
+
+  @Test
+  public void silentEnginesAreAskedSeldom() {
+    List<Task> tasks = engines.lagging(2);
+    engines.reports.remove("e1");
+    steps(rollout("a", tasks), 17);
+    assertEquals(Collections.frequency(engines.asked, "e2"), 14);
+    assertEquals(Collections.frequency(engines.asked, "e1"), 2);
+  }
+
+  /** A caller may be late: the order of an older holding must not go out under a newer one. */
+  @Test
+  public void anOrderThatWaitedForACallerEndsWithItsHolding() {
+    VersionRollout first = rollout("a", engines.lagging(2));
+    orderCalls.hold();
+    steps(first, 4);
+    assertEquals(orderCalls.waiting(), 3);
+    Lease second = new Lease(api, ticker, "weights", "b", LEASE_MS);
+    second.step();
+    ticker.pass(2 * LEASE_MS);
+    second.step();
+    assertEquals(second.token(), OptionalLong.of(2));
+    second.release();
+    steps(first, 3);
+    orderCalls.release();
+    assertEquals(engines.orders, List.of());
+    steps(first, (int) (SETTLE_MS / STEP_MS) - 3);
+    assertEquals(engines.orders, List.of(), "the holding has not settled");
+    steps(first, 5);
+    assertEquals(sorted(), List.of("e1 v2 epoch 3", "e2 v2 epoch 3", "e3 v2 epoch 3"));
+  }
+
+  private void firstThreeBusy(int running) {
+    for (String id : List.of("e1", "e2", "e3")) {
+      engines.reports.put(id, new EngineControl.Report(Map.of("m", 1L), true, 1, running));
+    }
+  }
+
+  private List<String> servers() {
+    return engines.orders.stream().map(order -> order.substring(0, 2)).toList();
+  }
+
   private List<String> sorted() {
     List<String> sorted = new ArrayList<>(engines.orders);
     Collections.sort(sorted);
