--- a/landingtrack/src/main/java/org/landingtrack/internal/weights/VersionRollout.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/weights/VersionRollout.java
@@ -66,8 +66,8 @@
   /** The last holder goes first; others wait so many steps before they seek the lease. */
   private static final int STEPS_FOR_LAST_HOLDER = 3;
 
-  /** When nothing has lagged for so many steps, the last holder has given the lease back. */
-  private static final int STEPS_BEFORE_LOOK = 10;
+  /** When nothing has lagged for so many steps, the last holder gave the lease back 0.3 s ago. */
+  private static final int STEPS_BEFORE_LOOK = 5;
 
   private final String self;
   private final Supplier<List<Task>> lagging;
@@ -205,10 +205,9 @@
       quietUntilMs = lease.beforeUntilMs() + settleMs;
     }
     lastEpoch = epoch;
-    log.atInfo()
-        .addKeyValue("epoch", epoch)
-        .addKeyValue("waitsMs", Math.max(0, quietUntilMs - ticker.millis()))
-        .log("lease won");
+    long nowMs = ticker.millis();
+    long waitsMs = nowMs < quietUntilMs ? quietUntilMs - nowMs : 0;
+    log.atInfo().addKeyValue("epoch", epoch).addKeyValue("waitsMs", waitsMs).log("lease won");
   }
 
   /** Takes what is to be done now. */
