Settings: rates, allowances and bounds may have a fraction

Cause: a fleet played at a share has its allowance scaled to 37.1 retries, and no process started: "key 'retries.extra' must be a whole number". The same held for the store's rates, the cores and every bound. Change: such keys are numbers; times are taken as whole milliseconds. Names, ranges and errors stay.

--- a/landingtrack/src/main/java/org/landingtrack/internal/settings/EntrySettings.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/settings/EntrySettings.java
@@ -58,7 +58,7 @@
     long stopGraceMs,
     long leavingMs,
     double retryShare,
-    long retryExtra,
+    double retryExtra,
     long leaseMs,
     long weightsMs,
     boolean fencesChecked) {
@@ -67,6 +67,7 @@
   private static final long MAX_CORES = 1_024;
   private static final long MAX_RATE = 1_000_000;
   private static final long MAX_MS = 3_600_000;
+  private static final long MS_PER_SECOND = 1_000;
   private static final List<SettingKey> KEYS = keys();
 
   private static List<SettingKey> keys() {
@@ -79,19 +80,19 @@
     }
     keys.add(
         SettingKey.texts("peers.seeds", List.of(), CommonKeys.ADDRESS, CommonKeys.ADDRESS_RULE));
-    keys.add(SettingKey.number("store.readsPerSecond", null, 1, MAX_RATE));
-    keys.add(SettingKey.number("store.writesPerSecond", null, 1, MAX_RATE));
-    keys.add(SettingKey.number("store.settledMs", null, 0, MAX_MS));
-    keys.add(SettingKey.number("config.withinMs", null, 100, MAX_MS));
+    keys.add(SettingKey.decimal("store.readsPerSecond", 1, MAX_RATE));
+    keys.add(SettingKey.decimal("store.writesPerSecond", 1, MAX_RATE));
+    keys.add(SettingKey.decimal("store.settledMs", 0, MAX_MS));
+    keys.add(SettingKey.decimal("config.withinMs", 100, MAX_MS));
     keys.add(SettingKey.share("cpu.share"));
-    keys.add(SettingKey.number("cpu.cores", null, 1, MAX_CORES));
-    keys.add(SettingKey.number("stopGraceS", null, 1, MAX_MS / 1_000));
-    keys.add(SettingKey.number("servers.leavingMs", null, 0, MAX_MS));
+    keys.add(SettingKey.decimal("cpu.cores", 1, MAX_CORES));
+    keys.add(SettingKey.decimal("stopGraceS", 1, MAX_MS / MS_PER_SECOND));
+    keys.add(SettingKey.decimal("servers.leavingMs", 0, MAX_MS));
     keys.add(SettingKey.share("retries.share"));
-    keys.add(SettingKey.number("retries.extra", null, 0, MAX_RATE));
-    keys.add(SettingKey.number("orders.leaseMs", null, 100, MAX_MS));
+    keys.add(SettingKey.decimal("retries.extra", 0, MAX_RATE));
+    keys.add(SettingKey.decimal("orders.leaseMs", 100, MAX_MS));
     keys.add(SettingKey.flag("orders.fencesChecked"));
-    keys.add(SettingKey.number("weights.withinMs", null, 100, MAX_MS));
+    keys.add(SettingKey.decimal("weights.withinMs", 100, MAX_MS));
     return List.copyOf(keys);
   }
 
@@ -126,23 +127,23 @@
     return new EntrySettings(
         v.text("vm"),
         v.text("dataCentre"),
-        (int) Math.round(HUNDREDTHS * v.share("cpu.share") * v.number("cpu.cores")),
+        (int) Math.round(HUNDREDTHS * v.decimal("cpu.share") * v.decimal("cpu.cores")),
         v.text("log.level"),
         v.text("callers.address"),
         v.text("readiness.address"),
         v.text("peers.address"),
         v.texts("peers.seeds"),
         v.text("store.address"),
-        v.number("store.readsPerSecond"),
-        v.number("store.writesPerSecond"),
-        v.number("store.settledMs"),
-        v.number("config.withinMs"),
-        1_000 * v.number("stopGraceS"),
-        v.number("servers.leavingMs"),
-        v.share("retries.share"),
-        v.number("retries.extra"),
-        v.number("orders.leaseMs"),
-        v.number("weights.withinMs"),
+        v.decimal("store.readsPerSecond"),
+        v.decimal("store.writesPerSecond"),
+        v.millis("store.settledMs"),
+        v.millis("config.withinMs"),
+        (long) (MS_PER_SECOND * v.decimal("stopGraceS")),
+        v.millis("servers.leavingMs"),
+        v.decimal("retries.share"),
+        v.decimal("retries.extra"),
+        v.millis("orders.leaseMs"),
+        v.millis("weights.withinMs"),
         v.flag("orders.fencesChecked"));
   }
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/settings/SettingKey.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/settings/SettingKey.java
@@ -44,7 +44,7 @@
     NUMBER,
     TEXT,
     TEXTS,
-    SHARE,
+    DECIMAL,
     FLAG
   }
 
@@ -55,7 +55,13 @@
 
   /** A number from 0 to 1, fractions included. */
   static SettingKey share(String path) {
-    return new SettingKey(path, Type.SHARE, null, 0, 1, null, "a number from 0 to 1");
+    return decimal(path, 0, 1);
+  }
+
+  /** A number that may have a fraction: rates and allowances are parts of a whole fleet's. */
+  static SettingKey decimal(String path, long min, long max) {
+    return new SettingKey(
+        path, Type.DECIMAL, null, min, max, null, "a number from " + min + " to " + max);
   }
 
   static SettingKey flag(String path) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/settings/SettingsReader.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/settings/SettingsReader.java
@@ -114,7 +114,7 @@
       case NUMBER -> number(parser, key, line);
       case TEXT -> text(parser, key, line);
       case TEXTS -> texts(parser, key, line);
-      case SHARE -> share(parser, key, line);
+      case DECIMAL -> decimal(parser, key, line);
       case FLAG -> flag(parser, key, line);
     };
   }
@@ -131,7 +131,7 @@
     return value;
   }
 
-  private Object share(JsonParser parser, SettingKey key, int line) throws IOException {
+  private Object decimal(JsonParser parser, SettingKey key, int line) throws IOException {
     if (!parser.currentToken().isNumeric()) {
       throw refuse(key, line);
     }
@@ -230,10 +230,15 @@
       return (String) value(path);
     }
 
-    double share(String path) {
+    double decimal(String path) {
       return (Double) value(path);
     }
 
+    /** Returns a time that may have been given with a fraction, in whole milliseconds. */
+    long millis(String path) {
+      return (long) decimal(path);
+    }
+
     boolean flag(String path) {
       return (Boolean) value(path);
     }
