A server that starts again under its id is another start

A report of the new start counted orders from 0, so the last order never seemed to be taken; what was under way at a server that lost power waited for its deadline. Change: a start is told by when it began. The later one is another Backend, which keeps only the machine's speed; the loads that VMs tell each other are of a start; requests under way end as after a crash, and kept connections are closed. What is told late of a start before changes nothing, whatever its revision. The rollout forgets report and order of the start before. An entry costs the same to take however many there are (the index by service was built anew for each). Measured: ServerRestartTest, VersionRolloutTest (three new); without the change they do not compile or fail.

--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/Attempt.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/Attempt.java
@@ -131,6 +131,12 @@
     }
   }
 
+  /** Breaks the send off as if its connection had: the server may have run the request. */
+  void breakOff(String why) {
+    cancel();
+    outcome.broken(this, why);
+  }
+
   /** Notes that the server answered well: it is sound, and keeps the prompt's parts. */
   void succeeded() {
     plan.backend().succeeded();
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/Backend.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/Backend.java
@@ -21,8 +21,8 @@
 import org.landingtrack.internal.loads.PeerLoads;
 
 /**
- * A backend server with what this VM has seen of it: requests under way, failures, and which parts
- * of prompts it probably keeps.
+ * One start of a backend server with what this VM has seen of it: requests under way, failures, and
+ * which parts of prompts it probably keeps. Another start of the server begins with none of that.
  */
 final class Backend {
   /** Failures in a row after which a server gets no requests for a while. */
@@ -36,6 +36,7 @@
 
   private ServerEntry entry;
   private final long idHash;
+  private long startHash;
   private long goneAtMs = Long.MAX_VALUE;
   private long heardGoneAtMs = Long.MIN_VALUE;
   private long leavingAtMs = Long.MAX_VALUE;
@@ -49,18 +50,32 @@
   private long refusedUntilMs;
   private boolean replaced;
   private final KeptParts kept = new KeptParts();
-  private final EngineTiming timing = new EngineTiming();
+  private final EngineTiming timing;
   private final LinkBacklog backlog = new LinkBacklog();
 
   Backend(ServerEntry entry, long sinceMs) {
+    this(entry, sinceMs, new EngineTiming());
+  }
+
+  private Backend(ServerEntry entry, long sinceMs, EngineTiming timing) {
     this.entry = entry;
     this.idHash = Hashes.placement(entry.id());
+    this.startHash = idHash;
+    this.timing = timing;
     update(entry, sinceMs);
   }
 
+  /**
+   * Returns the server after it started again: of this start it has only the speed of the machine.
+   */
+  Backend startedAgain(ServerEntry next, long sinceMs) {
+    return new Backend(next, sinceMs, timing.ofNextStart());
+  }
+
   /** Takes a changed entry; {@code sinceMs} is when it may have changed at the earliest. */
   void update(ServerEntry changed, long sinceMs) {
     entry = changed;
+    startHash = changed.startedMs() == 0 ? idHash : Hashes.weight(idHash, changed.startedMs());
     goneAtMs = Long.MAX_VALUE;
     if (changed.leaving() && leavingAtMs == Long.MAX_VALUE) {
       leavingAtMs = sinceMs;
@@ -71,10 +86,16 @@
     return entry;
   }
 
+  /** Returns the hash of the id, by which prompts find their home. */
   long idHash() {
     return idHash;
   }
 
+  /** Returns the hash of this start, by which VMs tell each other what it has under way. */
+  long startHash() {
+    return startHash;
+  }
+
   /** Notes the version of weights that an answer told of; it may be ahead of the entry. */
   void learnWeights(String model, long version) {
     Long before = learnedWeights.put(model, version);
@@ -204,7 +225,7 @@
 
   /** Returns how long the server's link is busy with the known fetches of all VMs. */
   double backlogMs(long nowMs, PeerLoads peerLoads) {
-    return backlog.ms(nowMs) + peerLoads.movingMs(idHash);
+    return backlog.ms(nowMs) + peerLoads.movingMs(startHash);
   }
 
   double msPerToken() {
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/EngineTiming.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/EngineTiming.java
@@ -64,6 +64,13 @@
     }
   }
 
+  /** Returns what holds for the engine after it started again: how quickly its machine reads. */
+  EngineTiming ofNextStart() {
+    EngineTiming next = new EngineTiming();
+    next.msPerToken = msPerToken;
+    return next;
+  }
+
   /** Notes a request that was sent. {@code request} is only compared by identity. */
   void sent(
       Object request,
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
@@ -259,6 +259,14 @@
     serving.log().cut(this, server, "the caller left");
   }
 
+  /** Tells that a start of a server is over, which may have run the request. */
+  void serverStartedAgain(Backend ended) {
+    Attempt current = attempt;
+    if (current != null && current.backend() == ended) {
+      current.breakOff("the server started again");
+    }
+  }
+
   /** Breaks the request off, because this process ends. */
   void giveUp(String why) {
     if (done) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/SendPlanner.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/SendPlanner.java
@@ -229,7 +229,7 @@
         plan.candidates(),
         choice.costMs(),
         choice.expectedMs(),
-        backend.pendingTokens() + state.peerLoads().pendingTokens(backend.idHash()),
+        backend.pendingTokens() + state.peerLoads().pendingTokens(backend.startHash()),
         backend.timing().lagMs(loop.millis()),
         choice.memoryShare(),
         prompt == null ? 0 : prompt.tokens(),
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerBook.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerBook.java
@@ -19,10 +19,10 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.landingtrack.internal.loads.LoadNews.Load;
 
@@ -34,6 +34,10 @@
  * the store is in trouble may only have lapsed: then the server serves on until the store has been
  * back for {@code lapsedMs}. What went before that is gone: without this, a watch that was cut let
  * a server that had left get requests for up to 4.5 s, where 2 s are allowed.
+ *
+ * <p>A server may start again under its id. The later start is another {@link Backend}, which
+ * nothing of the start before is believed of; what is told late of a start before changes nothing.
+ * An entry costs the same to take however many there are.
  */
 public final class ServerBook {
   private final EventLoop loop;
@@ -41,7 +45,8 @@
   private final long lastResortMs;
   private final long lapsedMs;
   private final Map<String, Backend> backends = new HashMap<>();
-  private final Map<String, List<Backend>> byService = new HashMap<>();
+  private final Map<String, Map<String, Backend>> byService = new HashMap<>();
+  private Consumer<Backend> startEnded = ended -> {};
   private boolean known;
   private long listedAtMs;
   private long storeBackAtMs;
@@ -63,6 +68,11 @@
     this.storeBackAtMs = -lapsedMs;
   }
 
+  /** Tells {@code listener} from now on of each start that is over, since a later one is known. */
+  void onStartEnded(Consumer<Backend> listener) {
+    startEnded = listener;
+  }
+
   /** Returns true once the list of servers was read. */
   public boolean known() {
     return known;
@@ -108,23 +118,69 @@
   public void put(ServerEntry entry, long revision, long sinceMs) {
     Backend backend = backends.get(entry.id());
     if (backend == null) {
-      backends.put(entry.id(), new Backend(entry, sinceMs));
+      keep(new Backend(entry, sinceMs));
       log.server("joined", entry, revision);
-      index();
       return;
     }
     ServerEntry before = backend.entry();
+    if (before.isLaterStartThan(entry)) {
+      return;
+    }
+    if (entry.isLaterStartThan(before)) {
+      replace(backend, backend.startedAgain(entry, sinceMs));
+      log.server("started again", entry, revision);
+      return;
+    }
     boolean wasRemoved = backend.isRemoved();
     if (!before.weightVersions().equals(entry.weightVersions())) {
       backend.forgetParts();
     }
     backend.update(entry, sinceMs);
+    if (!before.service().equals(entry.service())) {
+      drop(before);
+      keep(backend);
+    }
     if (wasRemoved) {
       log.server("back", entry, revision);
     } else if (!before.equals(entry)) {
       log.server(entry.leaving() ? "leaving" : "changed", entry, revision);
     }
-    index();
+  }
+
+  /**
+   * Notes a start that a server told of by itself, before its entry does. A server that is gone is
+   * not back by this: its next entry says so.
+   */
+  public void startSeen(String id, long startedMs) {
+    Backend backend = backends.get(id);
+    if (backend == null || backend.isRemoved()) {
+      return;
+    }
+    ServerEntry next = backend.entry().startedAt(startedMs);
+    if (next.isLaterStartThan(backend.entry())) {
+      replace(backend, backend.startedAgain(next, loop.millis()));
+      log.server("started again", next, 0);
+    }
+  }
+
+  private void replace(Backend before, Backend next) {
+    drop(before.entry());
+    keep(next);
+    startEnded.accept(before);
+  }
+
+  private void keep(Backend backend) {
+    ServerEntry entry = backend.entry();
+    backends.put(entry.id(), backend);
+    byService.computeIfAbsent(entry.service(), name -> new HashMap<>()).put(entry.id(), backend);
+  }
+
+  private void drop(ServerEntry entry) {
+    backends.remove(entry.id());
+    Map<String, Backend> same = byService.get(entry.service());
+    if (same != null) {
+      same.remove(entry.id());
+    }
   }
 
   /** Takes the removal of an entry just now. */
@@ -142,27 +198,15 @@
     log.server("gone", backend.entry(), revision);
   }
 
-  private void index() {
-    byService.clear();
-    for (Backend backend : backends.values()) {
-      byService.computeIfAbsent(backend.entry().service(), name -> new ArrayList<>()).add(backend);
-    }
-  }
-
   /** Forgets servers that have been gone for long; returns their ids. */
   public List<String> forgetGone(long afterMs) {
     List<String> forgotten = new ArrayList<>();
-    Iterator<Backend> iterator = backends.values().iterator();
-    while (iterator.hasNext()) {
-      Backend backend = iterator.next();
+    for (Backend backend : List.copyOf(backends.values())) {
       if (backend.isRemoved() && backend.leavingForMs(loop.millis()) > afterMs) {
         forgotten.add(backend.entry().id());
-        iterator.remove();
+        drop(backend.entry());
       }
     }
-    if (!forgotten.isEmpty()) {
-      index();
-    }
     return forgotten;
   }
 
@@ -185,7 +229,7 @@
         long movingMs = (long) backend.backlog().ms(loop.millis());
         loads.add(
             new Load(
-                backend.idHash(),
+                backend.startHash(),
                 backend.pendingTokens(),
                 backend.inFlight(),
                 movingMs,
@@ -204,7 +248,7 @@
     long now = loop.millis();
     List<Backend> sound = new ArrayList<>();
     List<Backend> doubtful = new ArrayList<>();
-    for (Backend backend : byService.getOrDefault(service, List.of())) {
+    for (Backend backend : byService.getOrDefault(service, Map.of()).values()) {
       if (excluded.contains(backend.entry().id())) {
         continue;
       }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerChooser.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerChooser.java
@@ -152,7 +152,7 @@
     }
     Prompt prompt = query.prompt();
     EngineInfo info = query.engine();
-    int running = backend.inFlight() + query.peerLoads().running(backend.idHash());
+    int running = backend.inFlight() + query.peerLoads().running(backend.startHash());
     if (prompt == null || info == null) {
       double waitMs = running * MS_PER_PLAIN_REQUEST;
       return new Choice(backend, 0, null, waitMs, 0, waitMs, 0, running == 0, waitMs + otherMs);
@@ -178,13 +178,13 @@
     if (isHome && fetch.tokens() == 0) {
       missing -= (int) (HOME_KEPT * Math.max(0, sharedTokens(prompt) - kept));
     }
-    long pending = backend.pendingTokens() + query.peerLoads().pendingTokens(backend.idHash());
+    long pending = backend.pendingTokens() + query.peerLoads().pendingTokens(backend.startHash());
     double readMs = missing * backend.msPerToken();
     double waitMs =
         pending * backend.msPerToken()
             + running * MS_PER_RUNNING
             + backend.timing().lagMs(query.nowMs());
-    long held = backend.heldTokens() + query.peerLoads().heldTokens(backend.idHash());
+    long held = backend.heldTokens() + query.peerLoads().heldTokens(backend.startHash());
     double memoryShare = held == 0 ? 0 : (double) (held + prompt.memoryTokens()) / cacheTokens;
     double memoryMs = Math.max(0, memoryShare - EngineAdmission.MEMORY_SHARE) * MS_PER_MEMORY;
     double expectedMs = readMs + fetch.ms() + waitMs + memoryMs;
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerEntry.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerEntry.java
@@ -20,10 +20,11 @@
 /**
  * A backend server as it announces itself.
  *
- * @param id names one start of the server
+ * @param id names the server; another start of it may have the same id
  * @param leaving true once it announced that it will end
  * @param coldMs how much longer it is slow, from its start
  * @param weightVersions the version of the weights of each model it has
+ * @param startedMs when this start of the server began, by its time of day; 0 if it does not tell
  */
 public record ServerEntry(
     String id,
@@ -33,8 +34,33 @@
     int slots,
     boolean leaving,
     long coldMs,
-    Map<String, Long> weightVersions) {
+    Map<String, Long> weightVersions,
+    long startedMs) {
   public ServerEntry {
     weightVersions = Map.copyOf(weightVersions);
   }
+
+  /** Creates an entry of a server that does not tell when it started. */
+  public ServerEntry(
+      String id,
+      String service,
+      String address,
+      String dataCentre,
+      int slots,
+      boolean leaving,
+      long coldMs,
+      Map<String, Long> weightVersions) {
+    this(id, service, address, dataCentre, slots, leaving, coldMs, weightVersions, 0);
+  }
+
+  /** Returns this entry as that of another start. */
+  ServerEntry startedAt(long otherStartedMs) {
+    return new ServerEntry(
+        id, service, address, dataCentre, slots, leaving, coldMs, weightVersions, otherStartedMs);
+  }
+
+  /** Returns true if the server is known to have started again since another of its entries. */
+  boolean isLaterStartThan(ServerEntry other) {
+    return startedMs > other.startedMs && other.startedMs > 0;
+  }
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/Serving.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/Serving.java
@@ -42,6 +42,18 @@
     this.log = log;
     this.options = options;
     this.waiting = new WaitingRuns(loop);
+    state.servers().onStartEnded(this::startEnded);
+  }
+
+  /**
+   * What was under way at a start that is over ends as after a crash. Its connections may be silent
+   * for good, so that without this a request waited for its deadline.
+   */
+  private void startEnded(Backend ended) {
+    transport.forget(ended.entry().id());
+    for (RequestRun run : List.copyOf(running)) {
+      run.serverStartedAgain(ended);
+    }
   }
 
   /** Begins to serve a request; tell the run if the caller leaves. */
--- a/landingtrack/src/main/java/org/landingtrack/internal/weights/EngineControl.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/weights/EngineControl.java
@@ -19,8 +19,12 @@
 
 /** Reports of engines and orders to them. Blocks for a bounded time; thread-safe. */
 public interface EngineControl {
-  /** One start of an engine. */
-  record Engine(String id, String address) {}
+  /**
+   * An engine.
+   *
+   * @param startedMs when its latest known start began, by its time of day; 0 if that is not known
+   */
+  record Engine(String id, String address, long startedMs) {}
 
   /**
    * What an engine says of itself.
@@ -29,8 +33,14 @@
    * @param busy an order is under way
    * @param ordersTaken counts the orders that it took since its start
    * @param running requests that it runs
+   * @param startedMs when the start that reports began, by its time of day; 0 if it does not tell
    */
-  record Report(Map<String, Long> weightVersions, boolean busy, long ordersTaken, int running) {
+  record Report(
+      Map<String, Long> weightVersions,
+      boolean busy,
+      long ordersTaken,
+      int running,
+      long startedMs) {
     public Report {
       weightVersions = Map.copyOf(weightVersions);
     }
--- a/landingtrack/src/main/java/org/landingtrack/internal/weights/EngineView.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/weights/EngineView.java
@@ -20,6 +20,7 @@
 
 /**
  * What the holder of the rollout knows of one engine: its last report and the last order to it.
+ * Both are of one start of the engine, the latest that is known; another counts its orders anew.
  *
  * <p>Not thread-safe: the rollout guards it. Times are milliseconds of the rollout's clock.
  */
@@ -46,6 +47,7 @@
   /** A silent engine takes a caller for 400 ms; it is asked this often. */
   static final long SILENT_PAUSE_MS = 1_000;
 
+  private long startedMs;
   private @Nullable Report report;
   private long reportAskedMs;
   private long busySinceMs;
@@ -57,6 +59,28 @@
 
   private record Sent(long version, long ordersTaken, long atMs) {}
 
+  /**
+   * Notes the start of the engine that somebody told of; 0 if it did not tell. What is known of a
+   * start before it is forgotten: by its count of orders, a new start seemed to have taken none of
+   * those that it was sent.
+   */
+  void startSeen(long seenMs) {
+    if (seenMs <= startedMs) {
+      return;
+    }
+    if (startedMs > 0) {
+      report = null;
+      lastSent = null;
+      silent = false;
+    }
+    startedMs = seenMs;
+  }
+
+  /** Returns false for what a start before the latest known one said. */
+  boolean isOfLatestStart(Report told) {
+    return told.startedMs() == 0 || told.startedMs() >= startedMs;
+  }
+
   /** Notes that the engine is asked now; false if it should not be asked yet. */
   boolean beginAsk(long nowMs) {
     if (asking || (silent && nowMs - askedMs < SILENT_PAUSE_MS)) {
@@ -69,9 +93,15 @@
 
   /** Notes the answer; null if none came. */
   void endAsk(@Nullable Report answer) {
-    boolean wasBusy = report != null && report.busy();
     asking = false;
     silent = answer == null;
+    if (answer != null && !isOfLatestStart(answer)) {
+      return;
+    }
+    if (answer != null) {
+      startSeen(answer.startedMs());
+    }
+    boolean wasBusy = report != null && report.busy();
     report = answer;
     reportAskedMs = askedMs;
     if (answer != null && answer.busy() && !wasBusy) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/weights/VersionRollout.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/weights/VersionRollout.java
@@ -237,7 +237,9 @@
   }
 
   private EngineView view(Task task) {
-    return views.computeIfAbsent(task.engine().id(), id -> new EngineView());
+    EngineView view = views.computeIfAbsent(task.engine().id(), id -> new EngineView());
+    view.startSeen(task.engine().startedMs());
+    return view;
   }
 
   private void ask(Task task, EngineView view) {
@@ -319,6 +321,9 @@
       return;
     }
     synchronized (lock) {
+      if (!view.isOfLatestStart(report)) {
+        return;
+      }
       view.noteSent(task.version(), report.ordersTaken(), ticker.millis());
     }
     LoadOrder order =
--- /dev/null
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/ServerRestartTest.java
@@ -0,0 +1,225 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.serving;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotSame;
+import static org.testng.Assert.assertSame;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import org.landingtrack.internal.loads.LoadNews;
+import org.landingtrack.internal.loads.LoadNews.Kind;
+import org.landingtrack.internal.loads.LoadNews.Load;
+import org.landingtrack.internal.loads.LoadNews.Vm;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * A server that starts again under its id holds and knows nothing of before: whatever is believed
+ * of the earlier start falls, and nothing that is told late of it counts.
+ */
+public final class ServerRestartTest {
+  private static final long FIRST = 1_700_000_000_000L;
+  private static final long SECOND = FIRST + 20_000;
+  private static final Prompt PROMPT =
+      new Prompt(ServingWorld.MODEL, 10, List.of(new Prompt.Part("a", 500)));
+  private static final String SCOPE = "v1";
+
+  private ServingWorld world = new ServingWorld();
+
+  @BeforeMethod
+  public void oneEngine() {
+    world = new ServingWorld();
+    world.book.replaceAll(List.of(engine(FIRST, 1), plain("p1", FIRST), plain("p2", FIRST)), 2);
+    world.loop.advance(10_000);
+  }
+
+  private static ServerEntry engine(long startedMs, long weights) {
+    return ServingWorld.engine("e1", weights).startedAt(startedMs);
+  }
+
+  private static ServerEntry plain(String id, long startedMs) {
+    return ServingWorld.plain(id, "dc-1").startedAt(startedMs);
+  }
+
+  private Backend backend(String id) {
+    return Objects.requireNonNull(world.book.find(id));
+  }
+
+  private List<String> usable(String service) {
+    List<String> ids = new ArrayList<>();
+    for (Backend backend : world.book.usable(service, Set.of())) {
+      ids.add(backend.entry().id());
+    }
+    return ids;
+  }
+
+  @DataProvider
+  public Object[][] ways() {
+    return new Object[][] {{"entry"}, {"list"}, {"report"}};
+  }
+
+  /** The later start is read first in an entry, a list or the server's own report. */
+  private void startAgain(String way) {
+    switch (way) {
+      case "entry" -> world.book.put(engine(SECOND, 1), 3);
+      case "list" ->
+          world.book.replaceAll(
+              List.of(engine(SECOND, 1), plain("p1", FIRST), plain("p2", FIRST)), 3);
+      default -> world.book.startSeen("e1", SECOND);
+    }
+  }
+
+  @Test(dataProvider = "ways")
+  public void nothingOfTheStartBeforeIsBelieved(String way) {
+    Backend before = backend("e1");
+    long now = world.loop.millis();
+    before.kept().read(SCOPE, PROMPT, 10_000);
+    before.learnWeights(ServingWorld.MODEL, 2);
+    before.kept().read(SCOPE, PROMPT, 10_000);
+    before.refused(now);
+    before.sent(500, 700);
+    while (!before.failed(now)) {
+      assertTrue(before.inFlight() > 0);
+    }
+    before.replacedByAnother();
+    startAgain(way);
+    Backend after = backend("e1");
+    assertNotSame(after, before);
+    assertEquals(after.kept().leadingTokens(SCOPE, PROMPT), 0);
+    assertEquals(after.weights(ServingWorld.MODEL), 1);
+    assertEquals(after.inFlight() + after.pendingTokens() + after.heldTokens(), 0);
+    assertTrue(!after.isEjected(now) && !after.isReplaced() && !after.refusedLately(now));
+    assertEquals(usable("engines"), List.of("e1"));
+    before.finished(700);
+    assertEquals(after.inFlight(), 0, "what ends at the start before is not taken off");
+  }
+
+  /** How quickly its machine reads is not the start's; how late its answers came is. */
+  @Test
+  public void theSpeedOfTheMachineIsKept() {
+    EngineTiming timing = backend("e1").timing();
+    Object request = new Object();
+    long now = world.loop.millis();
+    timing.sent(request, 10, 1_000, 0, true, now);
+    timing.first(request, now + 100);
+    assertTrue(timing.lagMs(now + 100) > 0);
+    startAgain("entry");
+    assertEquals(backend("e1").timing().msPerToken(), timing.msPerToken());
+    assertTrue(timing.msPerToken() > EngineTiming.PRIOR_MS_PER_TOKEN);
+    assertEquals(backend("e1").timing().lagMs(now + 100), 0.0);
+  }
+
+  /** An entry that an earlier start wrote may be stored after one of the later start. */
+  @Test
+  public void whatIsToldLateOfTheStartBeforeChangesNothing() {
+    startAgain("entry");
+    Backend after = backend("e1");
+    world.book.put(ServingWorld.leaving(engine(FIRST, 7)), 99);
+    world.book.startSeen("e1", FIRST);
+    assertSame(backend("e1"), after);
+    assertEquals(after.entry(), engine(SECOND, 1));
+    assertEquals(usable("engines"), List.of("e1"));
+  }
+
+  @Test
+  public void whatOtherVmsHadUnderWayAtTheStartBeforeDoesNotCount() {
+    Load load = new Load(backend("e1").startHash(), 9_000, 30, 0, 9_000);
+    Vm other = new Vm("10.0.1.2:70", "dc-1", 0);
+    world.peerLoads.heard(new LoadNews(other, 1, Kind.OWN, List.of(), List.of(load), List.of()));
+    assertEquals(world.peerLoads.running(backend("e1").startHash()), 30);
+    long home = backend("e1").idHash();
+    startAgain("entry");
+    assertEquals(world.peerLoads.running(backend("e1").startHash()), 0);
+    assertEquals(backend("e1").idHash(), home, "prompts keep their home");
+  }
+
+  @DataProvider
+  public Object[][] underWay() {
+    return new Object[][] {
+      {"/never/x", "refused OUTCOME_UNKNOWN", false},
+      {"/safe/x", "", true},
+    };
+  }
+
+  /**
+   * The connections of a server that lost power are silent for good: what was sent to it would have
+   * waited for its deadline.
+   */
+  @Test(dataProvider = "underWay")
+  public void whatIsUnderWayEndsAsAfterACrash(String path, String seen, boolean again) {
+    RecordingSink sink = world.serve(path);
+    FakeTransport.Sent sent = world.transport.last();
+    String id = sent.call.serverId();
+    world.book.put(plain(id, SECOND), 3);
+    assertTrue(sent.cancelled);
+    assertEquals(world.transport.forgotten, List.of(id));
+    assertEquals(sink.seen.toString(), seen);
+    assertEquals(world.transport.sends.size(), again ? 2 : 1);
+  }
+
+  @Test
+  public void requestsAtOtherServersGoOn() {
+    RecordingSink sink = world.serve("/never/x");
+    FakeTransport.Sent sent = world.transport.last();
+    String other = sent.call.serverId().equals("p1") ? "p2" : "p1";
+    world.book.put(plain(other, SECOND), 3);
+    sent.answer(200, "hello");
+    assertEquals(sink.seen.toString(), "answer 200 hello");
+  }
+
+  /** A server that was gone is back by an entry of its later start, not by a late report. */
+  @Test
+  public void aServerThatIsGoneIsBackByItsEntryOnly() {
+    world.book.remove("e1", 3);
+    world.loop.advance(5_000);
+    world.book.startSeen("e1", SECOND);
+    assertEquals(usable("engines"), List.of());
+    world.book.put(engine(SECOND, 1), 4);
+    assertEquals(usable("engines"), List.of("e1"));
+  }
+
+  /**
+   * Servers of platforms that do not tell of starts are one start for as long as they have an id.
+   */
+  @Test
+  public void anEntryWithoutAStartIsNoOtherStart() {
+    Backend known = backend("e1");
+    world.book.put(ServingWorld.engine("e1", 1), 3);
+    assertSame(backend("e1"), known);
+    assertEquals(known.entry().weightVersions(), Map.of(ServingWorld.MODEL, 1L));
+  }
+
+  /** Servers are found by their service, which an entry may change. */
+  @Test
+  public void aServerMovesBetweenServicesAndIsForgottenThere() {
+    ServerEntry moved =
+        new ServerEntry("p1", "other", "10.0.0.2:80", "dc-1", 6, false, 0, Map.of(), FIRST);
+    world.book.put(moved, 3);
+    assertEquals(usable("plain"), List.of("p2"));
+    assertEquals(usable("other"), List.of("p1"));
+    world.book.remove("p1", 4);
+    world.loop.advance(30_000);
+    assertTrue(world.book.forgetGone(20_000).contains("p1"));
+    assertEquals(usable("other"), List.of());
+  }
+}
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/ServingWorld.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/ServingWorld.java
@@ -71,7 +71,8 @@
         entry.slots(),
         true,
         entry.coldMs(),
-        entry.weightVersions());
+        entry.weightVersions(),
+        entry.startedMs());
   }
 
   static ServingConfig config(long version, String plainService) {
--- a/landingtrack/src/test/java/org/landingtrack/internal/weights/VersionRolloutTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/weights/VersionRolloutTest.java
@@ -36,6 +36,8 @@
   private static final long LEASE_MS = 1_500;
   private static final long SETTLE_MS = 3_400;
   private static final long STEP_MS = 150;
+  private static final long FIRST = 1_700_000_000_000L;
+  private static final long SECOND = FIRST + 20_000;
 
   private FakeTicker ticker = new FakeTicker();
   private FakeObjectApi api = new FakeObjectApi();
@@ -58,11 +60,12 @@
     final List<String> orders = Collections.synchronizedList(new ArrayList<>());
     final Map<String, Report> reports = new HashMap<>();
     final List<String> asked = new ArrayList<>();
+    final Map<String, Long> counts = new HashMap<>();
     Outcome outcome = Outcome.TAKEN;
 
     Engines() {
       for (int i = 1; i <= 6; i++) {
-        reports.put("e" + i, new Report(Map.of("m", 1L), false, 0, 0));
+        reports.put("e" + i, new Report(Map.of("m", 1L), false, 0, 0, 0));
       }
     }
 
@@ -78,6 +81,7 @@
 
     @Override
     public Outcome load(Engine engine, LoadOrder order) {
+      counts.put(engine.id(), order.ordersTaken());
       orders.add(engine.id() + " v" + order.version() + " epoch " + order.epoch());
       return outcome;
     }
@@ -87,7 +91,7 @@
       for (int i = 1; i <= 6; i++) {
         Report report = reports.get("e" + i);
         if (report == null || report.weightVersions().get("m") < version) {
-          tasks.add(new Task(new Engine("e" + i, "10.0.0.1:80"), "m", version));
+          tasks.add(new Task(new Engine("e" + i, "10.0.0.1:80", 0), "m", version));
         }
       }
       return tasks;
@@ -319,9 +323,74 @@
     assertEquals(sorted(), List.of("e1 v3 epoch 2", "e2 v3 epoch 2", "e3 v3 epoch 2"));
   }
 
+  /**
+   * An engine took an order, started again under its id, and has the weights that it had before it.
+   * Its count of orders begins anew, below that of the order: until this was known by its start, no
+   * report seemed to show the order, and the engine waited for its turn 0.6 s more.
+   */
+  @Test
+  public void anEngineThatStartsAgainIsOrderedByItsNewCount() {
+    engines.reports.replaceAll((id, report) -> report(1, 5, FIRST));
+    VersionRollout rollout = rollout("a", engines.lagging(2));
+    steps(rollout, 4);
+    assertEquals(servers(), List.of("e1", "e2", "e3"));
+    engines.reports.put("e1", report(1, 0, SECOND));
+    engines.orders.clear();
+    steps(rollout, 1);
+    assertEquals(servers(), List.of("e1"));
+    assertEquals(engines.counts.get("e1"), Long.valueOf(0));
+  }
+
+  /** A report may be answered before the start that another one tells of, and read after it. */
+  @Test
+  public void aLateReportOfTheStartBeforeOrdersNothing() {
+    List<Task> tasks = new ArrayList<>();
+    tasks.add(new Task(new EngineControl.Engine("e1", "10.0.0.1:80", FIRST), "m", 2));
+    engines.reports.put("e1", report(1, 5, FIRST));
+    VersionRollout rollout = rollout("a", tasks);
+    reportCalls.hold();
+    steps(rollout, 4);
+    tasks.set(0, new Task(new EngineControl.Engine("e1", "10.0.0.1:80", SECOND), "m", 2));
+    rollout.step();
+    reportCalls.run(1);
+    assertEquals(engines.orders, List.of());
+    engines.reports.put("e1", report(1, 0, SECOND));
+    reportCalls.release();
+    steps(rollout, 2);
+    assertEquals(engines.counts.get("e1"), Long.valueOf(0));
+  }
+
+  /**
+   * An order that was sent to the start before is carried out late by the later one, whose count of
+   * orders is the same again, and brings it back to older weights: it gets the newest again.
+   */
+  @Test
+  public void anOrderThatIsCarriedOutAfterARestartIsMadeUpFor() {
+    List<Task> tasks = new ArrayList<>();
+    VersionRollout rollout = rollout("a", tasks);
+    engines.reports.put("e1", report(1, 0, FIRST));
+    tasks.add(new Task(new EngineControl.Engine("e1", "10.0.0.1:80", FIRST), "m", 2));
+    engines.outcome = EngineControl.Outcome.UNKNOWN;
+    steps(rollout, 4);
+    engines.outcome = EngineControl.Outcome.TAKEN;
+    engines.reports.put("e1", report(3, 0, SECOND));
+    tasks.clear();
+    steps(rollout, 4);
+    engines.orders.clear();
+    engines.reports.put("e1", report(2, 1, SECOND));
+    tasks.add(new Task(new EngineControl.Engine("e1", "10.0.0.1:80", SECOND), "m", 3));
+    steps(rollout, 4);
+    assertEquals(servers(), List.of("e1"));
+    assertTrue(engines.orders.get(0).startsWith("e1 v3"), engines.orders.toString());
+  }
+
+  private static EngineControl.Report report(long version, long ordersTaken, long startedMs) {
+    return new EngineControl.Report(Map.of("m", version), false, ordersTaken, 0, startedMs);
+  }
+
   private void firstThreeBusy(int running) {
     for (String id : List.of("e1", "e2", "e3")) {
-      engines.reports.put(id, new EngineControl.Report(Map.of("m", 1L), true, 1, running));
+      engines.reports.put(id, new EngineControl.Report(Map.of("m", 1L), true, 1, running, 0));
     }
   }
 
