--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/SendPlanner.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/SendPlanner.java
@@ -162,12 +162,14 @@
     return team != null && team.isolated() ? version + "-" + team.name() : version;
   }
 
+  /** An engine of which no weights are known is asked for the newest, which it refuses or has. */
   private long weightsOf(Backend backend, boolean gamble) {
     Prompt prompt = request.prompt();
     if (prompt == null) {
       return 0;
     }
-    return gamble ? newestWeights().orElse(0) : backend.weights(prompt.model());
+    long known = backend.weights(prompt.model());
+    return gamble || known == 0 ? newestWeights().orElse(0) : known;
   }
 
   /**
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServingState.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServingState.java
@@ -48,6 +48,7 @@
   private final Map<String, RetryBudget> retries = new HashMap<>();
   private final double maxSavedRetries;
   private final Map<String, Double> rolloutTurns = new HashMap<>();
+  private boolean weightsListed;
   private @Nullable ServingConfig config;
 
   /** How this VM heard of something in the platform's store. */
@@ -115,9 +116,18 @@
     log.weights(model, version, revision, heard, loop.millis() - sinceMs);
   }
 
-  /** Returns true once requests can be served. */
+  /** Notes that all weights that are named were read once. */
+  public void weightsListed() {
+    weightsListed = true;
+  }
+
+  /**
+   * Returns true once requests can be served. Without the named weights a VM that has just started
+   * would let any engine begin on those that it happens to have, however long ago they were
+   * replaced.
+   */
   public boolean ready() {
-    return config != null && servers.known();
+    return config != null && servers.known() && weightsListed;
   }
 
   /** Returns the configuration in force, or null if none is known. */
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/ServingWorld.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/ServingWorld.java
@@ -43,6 +43,7 @@
 
   ServingWorld() {
     state.configure(config(1, "plain"), 1);
+    state.weightsListed();
     book.replaceAll(
         List.of(
             engine("e1", 1),
