--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
@@ -122,6 +122,10 @@
       mayTakeMs = Math.min(mayTakeMs, request.deadlineMs());
     }
     endsAtMs = request.receivedAtMs() + mayTakeMs;
+    if (endsAtMs - loop.millis() <= MIN_LEFT_MS) {
+      refuse(ErrorKind.OVERLOADED, "it waited for this VM until its time was over", RETRY_AFTER_MS);
+      return;
+    }
     deadline = loop.schedule(Math.max(0, endsAtMs - loop.millis()), this::expire);
     send();
   }
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/RequestRunTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/RequestRunTest.java
@@ -60,6 +60,19 @@
     assertTrue(world.transport.sends.isEmpty());
   }
 
+  /** It lay in the socket of a VM that was busy; nobody can serve it any more. */
+  @Test
+  public void aRequestWhoseTimeIsOverWhenItIsReadIsRefusedAtOnce() {
+    CallerRequest late = world.request("/safe/x", ServingWorld.KEY, 500);
+    world.loop.advance(490);
+    RecordingSink sink = new RecordingSink();
+    world.serving.serve(late, sink);
+    assertEquals(sink.seen.toString(), "refused OVERLOADED");
+    assertTrue(sink.retryAfterMs > 0);
+    assertTrue(world.transport.sends.isEmpty());
+    assertEquals(world.serving.runningCount(), 0);
+  }
+
   @Test
   public void withoutConfigurationNothingIsDenied() {
     ServingState empty = new ServingState(world.loop, world.book, world.peerLoads, world.log, 3);
