In large fleets hubs follow the platform's store, and news between VMs cost less

And of 6.4 s of processor time a VM news between VMs took a good part: each of ten rounds a second found all hubs anew, sorted all VMs and added up all loads, each message added them up again (240 a second on a hub), and messages were read by reflection. Change: hubs say ten times a second how far they have read, and how old that can be; a VM asks its hub for changes while that is young enough for the bound, and the store itself otherwise (RelayedObjectApi). News are read field by field, sums are made when they are asked for, hubs found when something changed or each half second, VMs named in each fifth round once all are known; where not all servers fit into a message, the heaviest are told instead of any.

--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/Fleet.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/Fleet.java
@@ -16,10 +16,11 @@
 package org.landingtrack.internal.loads;
 
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.Collection;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Set;
 import java.util.TreeMap;
 import org.jspecify.annotations.Nullable;
@@ -33,7 +34,8 @@
  * The VMs that this one knows, and the hubs among them. A few VMs tell each other all; in a larger
  * fleet each VM has a hub in its data centre, which is found by rendezvous and passed over for a
  * while when it is silent. Nothing is agreed: VMs with other views ask other hubs, and whoever is
- * asked is one. Not thread-safe.
+ * asked is one. A round costs a VM the same however many VMs there are, but for one look at all of
+ * them every {@link #LOOK_MS} or after a change. Not thread-safe.
  */
 final class Fleet {
   /** So many VMs tell each other all; as many may ask a store of parts at once. */
@@ -54,14 +56,20 @@
   /** A VM that nobody heard for so long is forgotten. */
   private static final long FORGET_MS = 60_000;
 
+  /** Hubs change with the VMs and with silences; that a silence is over is seen after so long. */
+  private static final long LOOK_MS = 500;
+
   /** Only VMs that somebody heard within this time are named to others. */
   private static final long NAME_MS = 20_000;
 
   private static final Logger log = LoggerFactory.getLogger("loads");
 
   private final Vm self;
-  private final Map<String, Known> known = new HashMap<>();
+  private final NavigableMap<String, Known> known = new TreeMap<>();
+  private final List<Known> expected = new ArrayList<>();
   private List<Group> groups = List.of();
+  private boolean changed = true;
+  private long lookedAtMs;
 
   private static final class Known {
     private final Vm vm;
@@ -75,6 +83,10 @@
       this.vm = vm;
       this.hash = Hashes.placement(vm.address());
     }
+
+    boolean isOf(Vm other) {
+      return vm.address().equals(other.address());
+    }
   }
 
   /** Some VMs of a data centre and their hub. */
@@ -88,6 +100,7 @@
   /** Notes that a VM spoke. */
   void heard(Vm vm, long nowMs) {
     Known entry = entry(vm);
+    changed |= isPassedOver(entry, nowMs);
     entry.heardAtMs = nowMs;
     entry.seenAtMs = nowMs;
     entry.passOverUntilMs = nowMs;
@@ -109,16 +122,22 @@
   /** A VM may have been known by its address alone; what is said of it later counts. */
   private Known entry(Vm vm) {
     Known entry = known.get(vm.address());
-    if (entry == null || !entry.vm.equals(vm)) {
+    if (entry == null || !entry.vm.isSame(vm)) {
       entry = new Known(vm);
       known.put(vm.address(), entry);
+      changed = true;
     }
     return entry;
   }
 
-  /** Forgets VMs that are gone, and finds the hubs anew. */
+  /** Forgets VMs that are gone and finds the hubs anew, if that is due. */
   void refresh(long nowMs) {
-    known.values().removeIf(entry -> !entry.vm.equals(self) && nowMs - entry.seenAtMs > FORGET_MS);
+    if (!changed && nowMs - lookedAtMs < LOOK_MS) {
+      return;
+    }
+    changed = false;
+    lookedAtMs = nowMs;
+    known.values().removeIf(entry -> !entry.isOf(self) && nowMs - entry.seenAtMs > FORGET_MS);
     groups = isMesh() ? List.of() : findGroups(nowMs);
   }
 
@@ -130,7 +149,7 @@
   List<Vm> heardWithin(long ms, long nowMs) {
     List<Vm> heard = new ArrayList<>();
     for (Known entry : known.values()) {
-      if (nowMs - entry.heardAtMs <= ms && !entry.vm.equals(self)) {
+      if (nowMs - entry.heardAtMs <= ms && !entry.isOf(self)) {
         heard.add(entry.vm);
       }
     }
@@ -141,23 +160,36 @@
   List<Vm> silentFor(long ms, long nowMs) {
     List<Vm> silent = new ArrayList<>();
     for (Known entry : known.values()) {
-      if (nowMs - entry.heardAtMs > ms && !entry.vm.equals(self)) {
+      if (nowMs - entry.heardAtMs > ms && !entry.isOf(self)) {
         silent.add(entry.vm);
       }
     }
     return silent;
   }
 
-  /** Returns the other VMs that somebody heard lately. */
-  List<Sighting> sightings(long nowMs) {
+  /**
+   * Returns some of the other VMs that somebody heard lately, in turn.
+   *
+   * @param after the address of the last one that was returned before; those after it come first
+   */
+  List<Sighting> sightings(long nowMs, String after, int count) {
     List<Sighting> sightings = new ArrayList<>();
-    for (Known entry : known.values()) {
+    addSightings(known.tailMap(after, false).values(), nowMs, count, sightings);
+    addSightings(known.headMap(after, true).values(), nowMs, count, sightings);
+    return sightings;
+  }
+
+  private void addSightings(
+      Collection<Known> entries, long nowMs, int count, List<Sighting> sightings) {
+    for (Known entry : entries) {
+      if (sightings.size() == count) {
+        return;
+      }
       long agoMs = nowMs - entry.seenAtMs;
-      if (agoMs <= NAME_MS && !entry.vm.equals(self)) {
+      if (agoMs <= NAME_MS && !entry.isOf(self)) {
         sightings.add(new Sighting(entry.vm, agoMs));
       }
     }
-    return sightings;
   }
 
   private List<Group> findGroups(long nowMs) {
@@ -199,7 +231,7 @@
   }
 
   private boolean isPassedOver(Known entry, long nowMs) {
-    return nowMs < entry.passOverUntilMs && !entry.vm.equals(self);
+    return nowMs < entry.passOverUntilMs && !entry.isOf(self);
   }
 
   /** Returns the hub that this VM belongs to; itself if it is one. */
@@ -241,19 +273,30 @@
 
   /** Notes the hubs that should speak in this round, and passes over those that do not. */
   void expect(Set<String> hubs, long nowMs) {
-    for (Known entry : known.values()) {
+    for (Known entry : expected) {
       if (!hubs.contains(entry.vm.address())) {
         entry.expectedSinceMs = -1;
-        continue;
-      }
-      if (entry.expectedSinceMs < 0) {
-        entry.expectedSinceMs = nowMs;
       }
-      if (nowMs - Math.max(entry.expectedSinceMs, entry.heardAtMs) > SILENT_MS) {
-        entry.passOverUntilMs = nowMs + PASS_OVER_MS;
-        entry.expectedSinceMs = -1;
-        log.atInfo().addKeyValue("vm", entry.vm.address()).log("hub silent");
+    }
+    expected.clear();
+    for (String hub : hubs) {
+      Known entry = known.get(hub);
+      if (entry != null) {
+        expected.add(entry);
+        expect(entry, nowMs);
       }
     }
   }
+
+  private void expect(Known entry, long nowMs) {
+    if (entry.expectedSinceMs < 0) {
+      entry.expectedSinceMs = nowMs;
+    }
+    if (nowMs - Math.max(entry.expectedSinceMs, entry.heardAtMs) > SILENT_MS) {
+      entry.passOverUntilMs = nowMs + PASS_OVER_MS;
+      entry.expectedSinceMs = -1;
+      changed = true;
+      log.atInfo().addKeyValue("vm", entry.vm.address()).log("hub silent");
+    }
+  }
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/LoadExchange.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/LoadExchange.java
@@ -15,15 +15,13 @@
  */
 package org.landingtrack.internal.loads;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.ObjectReader;
-import com.fasterxml.jackson.databind.ObjectWriter;
 import java.io.IOException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetSocketAddress;
 import java.time.Instant;
-import java.util.Arrays;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
@@ -31,7 +29,6 @@
 import java.util.function.Supplier;
 import org.landingtrack.internal.base.Addresses;
 import org.landingtrack.internal.base.Duty;
-import org.landingtrack.internal.base.MessagePack;
 import org.landingtrack.internal.loads.LoadNews.Kind;
 import org.landingtrack.internal.loads.LoadNews.Load;
 import org.landingtrack.internal.loads.LoadNews.Sighting;
@@ -46,13 +43,13 @@
   /** The largest datagram; a hub's news of a dozen stores with many changes have some 20 kB. */
   private static final int MAX_BYTES = 65_507;
 
-  private static final int MAX_LOADS = 90;
-  private static final ObjectReader READER = MessagePack.MAPPER.readerFor(LoadNews.class);
-  private static final ObjectWriter WRITER = MessagePack.MAPPER.writerFor(LoadNews.class);
+  /** Servers told of in one message: 2.4 kB, ten times a second, is what news may cost a VM. */
+  static final int MAX_LOADS = 90;
 
   private final PeerLoads peers;
   private final Supplier<List<Load>> own;
   private final StoreNewsBoard stores;
+  private final FeedNewsExchange feeds;
   private final Executor loop;
   private final DatagramSocket socket;
 
@@ -79,15 +76,30 @@
     void heard(StoreNews news);
   }
 
+  /** Where news of the Object API come from and go to; used on the loop. */
+  public interface FeedNewsExchange {
+    /** Returns how far this VM has read itself. */
+    List<FeedNews> news();
+
+    /** Takes news of a hub. */
+    void heard(String hub, List<FeedNews> news);
+  }
+
   /**
    * Binds the socket.
    *
    * @param own what this VM has under way; asked on the loop
+   * @param feeds what hubs say of the Object API
    * @param loop runs whatever touches {@code peers} and {@code stores}
    */
   public LoadExchange(
-      PeerLoads peers, Supplier<List<Load>> own, StoreNewsBoard stores, Executor loop)
+      PeerLoads peers,
+      Supplier<List<Load>> own,
+      StoreNewsBoard stores,
+      FeedNewsExchange feeds,
+      Executor loop)
       throws IOException {
+    this.feeds = feeds;
     this.peers = peers;
     this.own = own;
     this.stores = stores;
@@ -107,7 +119,7 @@
       DatagramPacket packet = new DatagramPacket(buffer, buffer.length);
       try {
         socket.receive(packet);
-        LoadNews news = READER.readValue(Arrays.copyOf(buffer, packet.getLength()));
+        LoadNews news = LoadNewsCodec.decode(buffer, packet.getLength());
         loop.execute(() -> take(news));
       } catch (IOException e) {
         if (!closed) {
@@ -120,6 +132,7 @@
   private void take(LoadNews news) {
     peers.heard(news);
     news.stores().forEach(stores::heard);
+    feeds.heard(news.sender().address(), news.feeds());
   }
 
   /** Sends one round of news. Runs on the loop. */
@@ -142,15 +155,39 @@
   /** All receivers of a kind are told the same. */
   private byte[] encode(Kind kind, List<Load> own, List<Sighting> seen) {
     List<Load> counted = peers.loadsFor(kind, own);
-    List<Load> told = counted.subList(0, Math.min(MAX_LOADS, counted.size()));
+    List<Load> told = heaviest(counted);
     try {
-      return WRITER.writeValueAsBytes(
-          new LoadNews(peers.self(), sequence, kind, seen, told, stores.news(kind)));
-    } catch (JsonProcessingException e) {
+      return LoadNewsCodec.encode(
+          new LoadNews(
+              peers.self(),
+              sequence,
+              kind,
+              seen,
+              told,
+              stores.news(kind),
+              kind == Kind.ALL ? feeds.news() : List.of()));
+    } catch (IOException e) {
       throw new IllegalStateException("news cannot be encoded", e);
     }
   }
 
+  /**
+   * Returns what is told where not all fits: a server that is left out counts as idle, so those are
+   * left out that are nearest to it.
+   */
+  static List<Load> heaviest(List<Load> loads) {
+    if (loads.size() <= MAX_LOADS) {
+      return loads;
+    }
+    List<Load> sorted = new ArrayList<>(loads);
+    sorted.sort(Comparator.comparingLong(LoadExchange::weight).reversed());
+    return sorted.subList(0, MAX_LOADS);
+  }
+
+  private static long weight(Load load) {
+    return load.heldTokens() + load.pendingTokens() + load.movingMs() + load.running();
+  }
+
   private void send(String receiver, byte[] bytes) {
     try {
       socket.send(new DatagramPacket(bytes, bytes.length, Addresses.parse(receiver)));
--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/LoadNews.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/LoadNews.java
@@ -15,7 +15,6 @@
  */
 package org.landingtrack.internal.loads;
 
-import com.fasterxml.jackson.annotation.JsonFormat;
 import java.util.List;
 
 /**
@@ -27,21 +26,34 @@
  * @param seen some VMs that were heard of lately
  * @param loads requests under way, for servers where there are any
  * @param stores news of stores of prompt parts
+ * @param feeds how far the sender has read of the Object API itself; only hubs tell
  */
-@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record LoadNews(
     Vm sender,
     long sequence,
     Kind kind,
     List<Sighting> seen,
     List<Load> loads,
-    List<StoreNews> stores) {
+    List<StoreNews> stores,
+    List<FeedNews> feeds) {
   public LoadNews {
+    feeds = List.copyOf(feeds);
     seen = List.copyOf(seen);
     loads = List.copyOf(loads);
     stores = List.copyOf(stores);
   }
 
+  /** Creates news that tell nothing of the Object API. */
+  public LoadNews(
+      Vm sender,
+      long sequence,
+      Kind kind,
+      List<Sighting> seen,
+      List<Load> loads,
+      List<StoreNews> stores) {
+    this(sender, sequence, kind, seen, loads, stores, List.of());
+  }
+
   /** Whose requests a message counts. */
   public enum Kind {
     /** The sender's. */
@@ -58,15 +70,20 @@
    * @param address where it hears news
    * @param strength hundredths of a core; 0 where it is not known
    */
-  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-  public record Vm(String address, String dataCentre, int strength) {}
+  public record Vm(String address, String dataCentre, int strength) {
+    /** Returns true if both say the same. A record's own comparison is linked at run time. */
+    boolean isSame(Vm other) {
+      return strength == other.strength
+          && address.equals(other.address)
+          && dataCentre.equals(other.dataCentre);
+    }
+  }
 
   /**
    * A VM that spoke to the sender or to another one.
    *
    * @param agoMs how long ago it spoke
    */
-  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
   public record Sighting(Vm vm, long agoMs) {}
 
   /**
@@ -78,7 +95,6 @@
    * @param movingMs how long moves of kept state keep its link busy
    * @param heldTokens tokens of its memory that requests under way need
    */
-  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
   public record Load(long server, long pendingTokens, int running, long movingMs, long heldTokens) {
     /** Returns the sum of two loads of one server. */
     Load plus(Load other) {
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/LoadNewsCodec.java
@@ -0,0 +1,214 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.loads;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.landingtrack.internal.loads.LoadNews.Kind;
+import org.landingtrack.internal.loads.LoadNews.Load;
+import org.landingtrack.internal.loads.LoadNews.Sighting;
+import org.landingtrack.internal.loads.LoadNews.Vm;
+import org.landingtrack.internal.loads.StoreNews.Change;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * News as MessagePack arrays without names, field by field. A VM hears and tells ten messages a
+ * second, a hub hundreds: what this costs is what a VM costs that has nothing to do.
+ */
+final class LoadNewsCodec {
+  /** Entries of any list; the largest datagram has room for fewer. */
+  private static final int MAX_ENTRIES = 10_000;
+
+  private static final int FIELDS = 7;
+
+  /** Processes of the release before say nothing of the Object API. */
+  private static final int FIELDS_BEFORE = 6;
+
+  private LoadNewsCodec() {}
+
+  static byte[] encode(LoadNews news) throws IOException {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      packer.packArrayHeader(FIELDS);
+      pack(packer, news.sender());
+      packer.packLong(news.sequence());
+      packer.packString(news.kind().name());
+      packer.packArrayHeader(news.seen().size());
+      for (Sighting sighting : news.seen()) {
+        packer.packArrayHeader(2);
+        pack(packer, sighting.vm());
+        packer.packLong(sighting.agoMs());
+      }
+      packer.packArrayHeader(news.loads().size());
+      for (Load load : news.loads()) {
+        pack(packer, load);
+      }
+      packer.packArrayHeader(news.stores().size());
+      for (StoreNews store : news.stores()) {
+        pack(packer, store);
+      }
+      packer.packArrayHeader(news.feeds().size());
+      for (FeedNews feed : news.feeds()) {
+        packer.packArrayHeader(4);
+        packer.packString(feed.prefix());
+        packer.packLong(feed.revision());
+        packer.packLong(feed.changedRevision());
+        packer.packLong(feed.ageMs());
+      }
+      return packer.toByteArray();
+    }
+  }
+
+  private static void pack(MessageBufferPacker packer, Vm vm) throws IOException {
+    packer.packArrayHeader(3);
+    packer.packString(vm.address());
+    packer.packString(vm.dataCentre());
+    packer.packInt(vm.strength());
+  }
+
+  private static void pack(MessageBufferPacker packer, Load load) throws IOException {
+    packer.packArrayHeader(5);
+    packer.packLong(load.server());
+    packer.packLong(load.pendingTokens());
+    packer.packInt(load.running());
+    packer.packLong(load.movingMs());
+    packer.packLong(load.heldTokens());
+  }
+
+  private static void pack(MessageBufferPacker packer, StoreNews store) throws IOException {
+    packer.packArrayHeader(6);
+    packer.packString(store.address());
+    packer.packLong(store.epoch());
+    packer.packLong(store.serversMs());
+    packer.packLong(store.from());
+    packer.packLong(store.next());
+    packer.packArrayHeader(store.changes().size());
+    for (Change change : store.changes()) {
+      packer.packArrayHeader(3);
+      packer.packBoolean(change.kept());
+      packer.packString(change.key());
+      packer.packInt(change.tokens());
+    }
+  }
+
+  /** Decodes a datagram; throws {@link IOException} for one that is no news. */
+  static LoadNews decode(byte[] bytes, int length) throws IOException {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes, 0, length)) {
+      int fields = unpacker.unpackArrayHeader();
+      if (fields != FIELDS && fields != FIELDS_BEFORE) {
+        throw new IOException("no news: " + fields + " fields");
+      }
+      Vm sender = vm(unpacker);
+      long sequence = unpacker.unpackLong();
+      Kind kind = Kind.valueOf(unpacker.unpackString());
+      return new LoadNews(
+          sender,
+          sequence,
+          kind,
+          sightings(unpacker),
+          loads(unpacker),
+          stores(unpacker),
+          fields == FIELDS ? feeds(unpacker) : List.of());
+    } catch (MessagePackException | IllegalArgumentException e) {
+      throw new IOException("no news: " + e, e);
+    }
+  }
+
+  private static void expect(MessageUnpacker unpacker, int fields) throws IOException {
+    if (unpacker.unpackArrayHeader() != fields) {
+      throw new IOException("no news: another number of fields");
+    }
+  }
+
+  private static int size(MessageUnpacker unpacker) throws IOException {
+    int size = unpacker.unpackArrayHeader();
+    if (size > MAX_ENTRIES) {
+      throw new IOException("no news: " + size + " entries");
+    }
+    return size;
+  }
+
+  private static Vm vm(MessageUnpacker unpacker) throws IOException {
+    expect(unpacker, 3);
+    return new Vm(unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackInt());
+  }
+
+  private static List<Sighting> sightings(MessageUnpacker unpacker) throws IOException {
+    List<Sighting> list = new ArrayList<>();
+    for (int left = size(unpacker); left > 0; left--) {
+      expect(unpacker, 2);
+      list.add(new Sighting(vm(unpacker), unpacker.unpackLong()));
+    }
+    return list;
+  }
+
+  private static List<Load> loads(MessageUnpacker unpacker) throws IOException {
+    List<Load> list = new ArrayList<>();
+    for (int left = size(unpacker); left > 0; left--) {
+      expect(unpacker, 5);
+      list.add(
+          new Load(
+              unpacker.unpackLong(),
+              unpacker.unpackLong(),
+              unpacker.unpackInt(),
+              unpacker.unpackLong(),
+              unpacker.unpackLong()));
+    }
+    return list;
+  }
+
+  private static List<StoreNews> stores(MessageUnpacker unpacker) throws IOException {
+    List<StoreNews> list = new ArrayList<>();
+    for (int left = size(unpacker); left > 0; left--) {
+      expect(unpacker, 6);
+      list.add(
+          new StoreNews(
+              unpacker.unpackString(),
+              unpacker.unpackLong(),
+              unpacker.unpackLong(),
+              unpacker.unpackLong(),
+              unpacker.unpackLong(),
+              changes(unpacker)));
+    }
+    return list;
+  }
+
+  private static List<FeedNews> feeds(MessageUnpacker unpacker) throws IOException {
+    List<FeedNews> list = new ArrayList<>();
+    for (int left = size(unpacker); left > 0; left--) {
+      expect(unpacker, 4);
+      list.add(
+          new FeedNews(
+              unpacker.unpackString(),
+              unpacker.unpackLong(),
+              unpacker.unpackLong(),
+              unpacker.unpackLong()));
+    }
+    return list;
+  }
+
+  private static List<Change> changes(MessageUnpacker unpacker) throws IOException {
+    List<Change> list = new ArrayList<>();
+    for (int left = size(unpacker); left > 0; left--) {
+      expect(unpacker, 3);
+      list.add(new Change(unpacker.unpackBoolean(), unpacker.unpackString(), unpacker.unpackInt()));
+    }
+    return list;
+  }
+}
--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/PeerLoads.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/PeerLoads.java
@@ -22,6 +22,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 import org.landingtrack.internal.base.Ticker;
 import org.landingtrack.internal.loads.LoadNews.Kind;
 import org.landingtrack.internal.loads.LoadNews.Load;
@@ -31,7 +32,8 @@
 /**
  * What other VMs have under way at backend servers, and who tells whom. Up to a dozen VMs tell each
  * other; in a larger fleet each tells its hub, hubs tell each other the sums of their groups, and a
- * hub tells its VMs what all have, of which each takes off its own. Not thread-safe.
+ * hub tells its VMs what all have, of which each takes off its own. News are only kept as they
+ * come; they are added up when the sums are asked for. Not thread-safe.
  */
 public final class PeerLoads {
   /** Between two rounds of news. */
@@ -54,12 +56,26 @@
   /** VMs named in one message. */
   private static final int NAMED_VMS = 12;
 
+  /** Between two rounds in which VMs are named, while all are known. */
+  private static final long NAME_EVERY_MS = 500;
+
+  /** So long after a VM started, those it tells name others in each round, until it knows all. */
+  private static final long NEWCOMER_MS = 5_000;
+
+  /** A process counts up by one a round and starts at the time of day: this is another process. */
+  private static final long SEQUENCE_OF_ANOTHER_START = 100;
+
   private final Ticker ticker;
   private final Vm self;
   private final Fleet fleet;
   private final Map<String, Peer> peers = new HashMap<>();
   private Map<Long, Load> totals = new HashMap<>();
+  private boolean outdated;
   private List<Load> told = List.of();
+  private List<Sighting> named = List.of();
+  private long namedAtMs;
+  private String lastNamed = "";
+  private long newcomerAtMs;
   private long round;
   private boolean isHub;
 
@@ -83,6 +99,7 @@
     this.ticker = ticker;
     this.self = self;
     this.fleet = new Fleet(self);
+    this.newcomerAtMs = ticker.millis();
   }
 
   Vm self() {
@@ -110,17 +127,20 @@
     if (news.sequence() <= peer.sequence && !restarted) {
       return;
     }
+    if (restarted || news.sequence() - peer.sequence >= SEQUENCE_OF_ANOTHER_START) {
+      newcomerAtMs = now;
+    }
     peer.sequence = news.sequence();
     peer.heardAtMs = now;
     peer.kind = news.kind();
     peer.loads = news.loads();
     fleet.heard(news.sender(), now);
     for (Sighting sighting : news.seen()) {
-      if (!sighting.vm().equals(self)) {
+      if (!sighting.vm().address().equals(self.address())) {
         fleet.seen(sighting.vm(), now - sighting.agoMs());
       }
     }
-    addUp(now);
+    outdated = true;
   }
 
   /** Starts a round: forgets what is old and returns the messages that are due in it. */
@@ -130,12 +150,25 @@
     peers.values().removeIf(peer -> now - peer.heardAtMs > QUIET_MS * FRESH_ROUNDS);
     fleet.refresh(now);
     Map<String, Kind> mails = fleet.isMesh() ? meshMails(now) : hubMails(now);
-    addUp(now);
+    outdated = true;
+    nameSome(now);
     List<Mail> due = new ArrayList<>();
     mails.forEach((receiver, kind) -> due.add(new Mail(receiver, kind)));
     return due;
   }
 
+  /** Chooses the VMs that are named in this round: others each time, and none in most rounds. */
+  private void nameSome(long now) {
+    named = List.of();
+    boolean anyIsNew = now - newcomerAtMs <= NEWCOMER_MS;
+    if (!anyIsNew && now - namedAtMs < NAME_EVERY_MS) {
+      return;
+    }
+    namedAtMs = now;
+    named = fleet.sightings(now, lastNamed, NAMED_VMS);
+    lastNamed = named.isEmpty() ? "" : named.get(named.size() - 1).vm().address();
+  }
+
   private Map<String, Kind> meshMails(long now) {
     isHub = false;
     Map<String, Kind> mails = new LinkedHashMap<>();
@@ -203,6 +236,7 @@
   List<Load> loadsFor(Kind kind, List<Load> own) {
     if (kind == Kind.OWN) {
       told = own;
+      outdated = true;
       return own;
     }
     Map<Long, Load> sum = new HashMap<>();
@@ -217,15 +251,8 @@
     return List.copyOf(sum.values());
   }
 
-  /** Returns some VMs that were heard of lately, others in each round. */
+  /** Returns the VMs that were heard of lately and are named in this round. */
   List<Sighting> sightings() {
-    List<Sighting> all = new ArrayList<>(fleet.sightings(ticker.millis()));
-    all.sort(Comparator.comparing(sighting -> sighting.vm().address()));
-    List<Sighting> named = new ArrayList<>();
-    int start = all.isEmpty() ? 0 : (int) (round * NAMED_VMS % all.size());
-    for (int i = 0; i < Math.min(NAMED_VMS, all.size()); i++) {
-      named.add(all.get((start + i) % all.size()));
-    }
     return named;
   }
 
@@ -234,6 +261,14 @@
     return now - peer.heardAtMs <= FRESH_ROUNDS * ROUND_MS * turns;
   }
 
+  private @Nullable Load others(long server) {
+    if (outdated) {
+      outdated = false;
+      addUp(ticker.millis());
+    }
+    return totals.get(server);
+  }
+
   /** A hub counts its VMs and other hubs' groups; a VM with a hub what that one tells of others. */
   private void addUp(long now) {
     Map<Long, Load> sum = new HashMap<>();
@@ -266,25 +301,25 @@
 
   /** Returns the prompt tokens that a server has yet to read for other VMs. */
   public long pendingTokens(long server) {
-    Load load = totals.get(server);
+    Load load = others(server);
     return load == null ? 0 : load.pendingTokens();
   }
 
   /** Returns the requests of other VMs that a server has. */
   public int running(long server) {
-    Load load = totals.get(server);
+    Load load = others(server);
     return load == null ? 0 : load.running();
   }
 
   /** Returns how long moves of other VMs keep a server's or a store's link busy. */
   public long movingMs(long server) {
-    Load load = totals.get(server);
+    Load load = others(server);
     return load == null ? 0 : load.movingMs();
   }
 
   /** Returns the tokens of a server's memory that requests of other VMs need. */
   public long heldTokens(long server) {
-    Load load = totals.get(server);
+    Load load = others(server);
     return load == null ? 0 : load.heldTokens();
   }
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/StoreNews.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/StoreNews.java
@@ -15,7 +15,6 @@
  */
 package org.landingtrack.internal.loads;
 
-import com.fasterxml.jackson.annotation.JsonFormat;
 import java.util.List;
 
 /**
@@ -28,7 +27,6 @@
  * @param next the number of the last change that the store had
  * @param changes changes between the two, some of them may be missing
  */
-@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record StoreNews(
     String address, long epoch, long serversMs, long from, long next, List<Change> changes) {
   public StoreNews {
@@ -40,6 +38,5 @@
    *
    * @param key scope and part
    */
-  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
   public record Change(boolean kept, String key, int tokens) {}
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/platform/DatedObjectApi.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/platform/DatedObjectApi.java
@@ -86,16 +86,27 @@
     return answers.computeIfAbsent(prefix, name -> new ArrayDeque<>());
   }
 
-  private synchronized void note(String prefix, long revision, long atMs) {
+  /** Returns when a kind had no change after a revision, the latest that is known; else empty. */
+  public synchronized OptionalLong provenMs(String prefix, long revision) {
+    Answer last = answersOf(prefix).peekLast();
+    return last == null || last.revision() != revision
+        ? OptionalLong.empty()
+        : OptionalLong.of(last.atMs());
+  }
+
+  /** Notes that a kind had no change after a revision up to a time, as somebody else was told. */
+  synchronized void note(String prefix, long revision, long atMs) {
     Deque<Answer> known = answersOf(prefix);
     @Nullable Answer last = known.peekLast();
     if (last != null && revision < last.revision()) {
       return;
     }
+    long provenMs = atMs;
     if (last != null && revision == last.revision()) {
       known.removeLast();
+      provenMs = Math.max(atMs, last.atMs());
     }
-    known.addLast(new Answer(revision, atMs));
+    known.addLast(new Answer(revision, provenMs));
     if (known.size() > MAX_ANSWERS) {
       known.removeFirst();
     }
--- a/landingtrack/src/test/java/org/landingtrack/internal/loads/LoadExchangeTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/loads/LoadExchangeTest.java
@@ -15,12 +15,14 @@
  */
 package org.landingtrack.internal.loads;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
 import java.net.BindException;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -49,6 +51,17 @@
         public void heard(StoreNews news) {}
       };
 
+  private static final LoadExchange.FeedNewsExchange NO_FEEDS =
+      new LoadExchange.FeedNewsExchange() {
+        @Override
+        public List<FeedNews> news() {
+          return List.of();
+        }
+
+        @Override
+        public void heard(String hub, List<FeedNews> news) {}
+      };
+
   private final Object loop = new Object();
   private final FakeTicker ticker = new FakeTicker();
 
@@ -69,7 +82,7 @@
     long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(LONGEST_S);
     while (true) {
       try {
-        return new LoadExchange(peers, own, NO_STORES, this::onLoop);
+        return new LoadExchange(peers, own, NO_STORES, NO_FEEDS, this::onLoop);
       } catch (BindException e) {
         if (System.nanoTime() > endNs) {
           throw e;
@@ -102,6 +115,25 @@
     return false;
   }
 
+  /**
+   * Which servers were told of was chance, so that some engines seemed idle to all VMs for ever.
+   */
+  @Test
+  public void whereNotAllFitsTheHeaviestAreTold() {
+    List<Load> loads = new ArrayList<>();
+    int count = 3 * LoadExchange.MAX_LOADS;
+    for (int i = 0; i < count; i++) {
+      loads.add(new Load(i, 100L * (i % 3), 1, 0, 50L * i));
+    }
+    List<Load> told = LoadExchange.heaviest(loads);
+    assertEquals(told.size(), LoadExchange.MAX_LOADS);
+    for (Load load : told) {
+      assertTrue(load.server() >= count - LoadExchange.MAX_LOADS - 4, load.toString());
+    }
+    List<Load> few = loads.subList(0, 10);
+    assertEquals(LoadExchange.heaviest(few), few);
+  }
+
   /** A process that starts again is believed at once, not only when its old news are forgotten. */
   @Test
   public void aProcessThatStartsAgainIsHeardAtOnce() throws Exception {
--- /dev/null
+++ b/landingtrack/src/test/java/org/landingtrack/internal/loads/LoadNewsCodecTest.java
@@ -0,0 +1,91 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.loads;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import org.landingtrack.internal.base.MessagePack;
+import org.landingtrack.internal.loads.LoadNews.Kind;
+import org.landingtrack.internal.loads.LoadNews.Load;
+import org.landingtrack.internal.loads.LoadNews.Sighting;
+import org.landingtrack.internal.loads.LoadNews.Vm;
+import org.landingtrack.internal.loads.StoreNews.Change;
+import org.testng.annotations.Test;
+
+/** News are read as they were written, and bytes that are none are refused. */
+public final class LoadNewsCodecTest {
+  private static final long SEED = 11;
+  private static final int ROUNDS = 20_000;
+  private static final LoadNews NEWS =
+      new LoadNews(
+          new Vm("10.1.0.1:7580", "hall-a", 150),
+          1_790_000_000_000L,
+          Kind.GROUP,
+          List.of(new Sighting(new Vm("10.1.0.2:7580", "hall-b", 36), 300)),
+          List.of(new Load(-42, 9_000, 3, 17, 12_000), new Load(Long.MAX_VALUE, 0, 0, 0, 0)),
+          List.of(
+              new StoreNews(
+                  "10.2.0.1:80",
+                  77,
+                  1_790_000_000_100L,
+                  5,
+                  7,
+                  List.of(new Change(true, "v1/ab", 500), new Change(false, "v1/é", 0)))));
+
+  private static LoadNews decode(byte[] bytes) throws IOException {
+    return LoadNewsCodec.decode(bytes, bytes.length);
+  }
+
+  @Test
+  public void newsAreReadAsTheyWereWritten() throws IOException {
+    byte[] bytes = LoadNewsCodec.encode(NEWS);
+    assertEquals(decode(bytes), NEWS);
+    byte[] buffer = Arrays.copyOf(bytes, bytes.length + 100);
+    assertEquals(LoadNewsCodec.decode(buffer, bytes.length), NEWS);
+  }
+
+  /** Processes of the release before wrote the same arrays by another library. */
+  @Test
+  public void theFormIsThatOfArraysWithoutNames() throws IOException {
+    List<?> fields = MessagePack.MAPPER.readValue(LoadNewsCodec.encode(NEWS), List.class);
+    assertEquals(fields.get(0), List.of("10.1.0.1:7580", "hall-a", 150));
+    assertEquals(fields.get(2), "GROUP");
+    assertEquals(decode(MessagePack.MAPPER.writeValueAsBytes(fields)), NEWS);
+  }
+
+  @Test
+  public void bytesThatAreNoNewsAreRefused() throws IOException {
+    Random random = new Random(SEED);
+    byte[] good = LoadNewsCodec.encode(NEWS);
+    int refused = 0;
+    for (int round = 0; round < ROUNDS; round++) {
+      byte[] bytes = Arrays.copyOf(good, 1 + random.nextInt(good.length));
+      bytes[random.nextInt(bytes.length)] = (byte) random.nextInt();
+      try {
+        assertNotNull(decode(bytes));
+      } catch (IOException e) {
+        refused++;
+      }
+    }
+    assertTrue(refused > ROUNDS / 2, "refused " + refused);
+  }
+}
