RequestRun: what is known of a request's sends is a class of its own

No behaviour changes: the servers that were tried, the count of sends and whether any may have run were four fields among twenty; SendHistory holds them with the rule of what may be sent again.

--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
@@ -15,8 +15,6 @@
  */
 package org.landingtrack.internal.serving;
 
-import java.util.HashSet;
-import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.landingtrack.ErrorKind;
 import org.landingtrack.internal.base.Hashes;
@@ -32,12 +30,6 @@
  * only if no send is in doubt.
  */
 public final class RequestRun {
-  /** Connections that may fail before a request is refused; they are no sends. */
-  private static final int MAX_CONNECT_FAILURES = 3;
-
-  /** Less time than this is not worth another send. */
-  private static final long MIN_LEFT_MS = 20;
-
   /** When a caller should come back after a refusal for lack of a server. */
   private static final long RETRY_AFTER_MS = 250;
 
@@ -45,7 +37,7 @@
   private final CallerRequest request;
   private final CallerSink sink;
   private final EventLoop loop;
-  private final Set<String> tried = new HashSet<>();
+  private final SendHistory history = new SendHistory();
 
   private @Nullable Route route;
   private @Nullable Team team;
@@ -55,9 +47,6 @@
   private final Answers answers = new Answers();
   private @Nullable SendPlanner planner;
   private @Nullable Attempt attempt;
-  private int sends;
-  private int connectFailures;
-  private boolean inDoubt;
   private boolean streamStarted;
   private long firstMs = -1;
   private @Nullable String lastEventId;
@@ -122,7 +111,7 @@
       mayTakeMs = Math.min(mayTakeMs, request.deadlineMs());
     }
     endsAtMs = request.receivedAtMs() + mayTakeMs;
-    if (endsAtMs - loop.millis() <= MIN_LEFT_MS) {
+    if (endsAtMs - loop.millis() <= SendHistory.MIN_LEFT_MS) {
       refuse(ErrorKind.OVERLOADED, "it waited for this VM until its time was over", RETRY_AFTER_MS);
       return;
     }
@@ -143,7 +132,7 @@
     if (done || current == null || admitted == null) {
       return;
     }
-    SendPlan plan = current.plan(tried);
+    SendPlan plan = current.plan(history.tried());
     if (plan == null) {
       failWithout("no usable server of " + service);
       return;
@@ -153,8 +142,7 @@
     }
     Backend backend = plan.backend();
     PartMoves moves = current.moves(plan);
-    sends++;
-    tried.add(backend.entry().id());
+    int sends = history.begin(backend.entry().id());
     serving.log().routed(this, current.facts(plan, moves, sends));
     Attempt next = new Attempt(request, plan, serving.state().parts(), loop, answers);
     attempt = next;
@@ -186,7 +174,7 @@
 
   private void refuseOverloaded(long waitMs, long leftMs) {
     String why = "an engine would begin it in " + waitMs + " ms, " + leftMs + " ms are left";
-    if (inDoubt || streamStarted) {
+    if (history.inDoubt() || streamStarted) {
       failWithout(why);
       return;
     }
@@ -208,11 +196,7 @@
 
   private boolean maySendAgain() {
     Route current = route;
-    boolean mayRepeat = !inDoubt || (current != null && current.repeat() != Repeat.NEVER);
-    return current != null
-        && mayRepeat
-        && sends < current.maxAttempts()
-        && endsAtMs - loop.millis() > MIN_LEFT_MS;
+    return current != null && history.maySendAgain(current, endsAtMs - loop.millis());
   }
 
   private boolean trySendAgain() {
@@ -227,7 +211,7 @@
   private void failWithout(String why) {
     if (streamStarted) {
       cut(why);
-    } else if (inDoubt && route != null && route.repeat() == Repeat.NEVER) {
+    } else if (history.inDoubt() && route != null && route.repeat() == Repeat.NEVER) {
       refuse(ErrorKind.OUTCOME_UNKNOWN, why, 0);
     } else {
       refuse(ErrorKind.NO_BACKEND_SERVER, why, RETRY_AFTER_MS);
@@ -241,11 +225,11 @@
     }
     if (current != null) {
       cancel(current);
-      inDoubt = true;
+      history.mayHaveRun();
     }
     if (streamStarted) {
       cut("the time for the request is over");
-    } else if (inDoubt) {
+    } else if (history.inDoubt()) {
       refuse(ErrorKind.DEADLINE_IN_RUN, "the time for the request is over", 0);
     } else {
       refuse(ErrorKind.OVERLOADED, "the time for the request is over", RETRY_AFTER_MS);
@@ -276,7 +260,7 @@
     if (done) {
       return;
     }
-    boolean mayHaveRun = inDoubt || attempt != null;
+    boolean mayHaveRun = history.inDoubt() || attempt != null;
     stopAttempt();
     if (streamStarted) {
       cut(why);
@@ -332,10 +316,8 @@
       serving.log().tryFailed(RequestRun.this, sent.serverId(), "not-run " + reason, why);
       switch (reason) {
         case NO_CONNECTION -> {
-          sends--;
-          connectFailures++;
           noteFailure(sent, why);
-          if (connectFailures <= MAX_CONNECT_FAILURES) {
+          if (history.notConnected()) {
             send();
             return;
           }
@@ -391,7 +373,7 @@
       noteFirst();
       if (answer.isServerError()) {
         serving.log().tryFailed(RequestRun.this, sent.serverId(), "status " + answer.status(), "");
-        inDoubt = true;
+        history.mayHaveRun();
         if (trySendAgain()) {
           return;
         }
@@ -421,7 +403,7 @@
     @Override
     public void broken(Attempt sent, String why) {
       attempt = null;
-      inDoubt = true;
+      history.mayHaveRun();
       noteFailure(sent, why);
       serving.log().tryFailed(RequestRun.this, sent.serverId(), "in doubt", why);
       goOnInDoubt(why);
@@ -432,7 +414,7 @@
     public void withdrawn(Attempt sent) {
       String why = "not begun before its weights had been replaced for too long";
       attempt = null;
-      inDoubt = true;
+      history.mayHaveRun();
       serving.log().tryFailed(RequestRun.this, sent.serverId(), "withdrawn", why);
       goOnInDoubt(why);
     }
