In large fleets only hubs seek the lease of the rollout, others when nothing goes on

Change: hubs are candidates; another VM seeks the lease when no engine got its weights for 6 s, the last holder as before.

--- a/landingtrack/src/main/java/org/landingtrack/internal/weights/VersionRollout.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/weights/VersionRollout.java
@@ -25,6 +25,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import java.util.function.ToIntFunction;
 import java.util.stream.Collectors;
@@ -49,6 +50,9 @@
  * as this process saw it: after a rest it is over, so that a last holder which stands still costs
  * the next rollout no 3.4 s.
  *
+ * <p>In a large fleet a few VMs seek the lease, and the others only when nothing goes on for a
+ * while: each that seeks it calls the store twice a second for as long as engines lag.
+ *
  * <p>No look waits for an engine: reports are used as they come. A look that waited took up to 0.95
  * s, longer than the lease is held without a renewal, so that it was lost up to four times in a
  * rollout.
@@ -66,6 +70,11 @@
   /** The last holder goes first; others wait so many steps before they seek the lease. */
   private static final int STEPS_FOR_LAST_HOLDER = 3;
 
+  /**
+   * VMs that are not to roll out do so when no engine has got its weights for so many steps: 6 s.
+   */
+  private static final int STEPS_FOR_OTHERS = 40;
+
   /** When nothing has lagged for so many steps, the last holder gave the lease back 0.3 s ago. */
   private static final int STEPS_BEFORE_LOOK = 5;
 
@@ -76,12 +85,15 @@
   private final Ticker ticker;
   private final long settleMs;
   private final ToIntFunction<String> loadsAtOnce;
+  private final BooleanSupplier isCandidate;
   private final ExecutorService reportCallers;
   private final ExecutorService orderCallers;
   private final Duty duty = Duty.start("weights", 4);
   private long steps;
   private long idleSteps;
   private long laggingSteps;
+  private int laggingBefore;
+  private long stillSteps;
   private long lastEpoch = -1;
 
   /** Until then orders of another holder may be too near. */
@@ -105,6 +117,7 @@
    * @param lagging engines with older weights than named, in the order in which to load
    * @param settleMs how long after a foreign holding's last possible order the first own one waits
    * @param loadsAtOnce loads of a model that run at once without slowing each other down
+   * @param isCandidate whether this VM is one of those that roll out
    */
   public VersionRollout(
       String self,
@@ -113,7 +126,8 @@
       EngineControl control,
       Ticker ticker,
       long settleMs,
-      ToIntFunction<String> loadsAtOnce) {
+      ToIntFunction<String> loadsAtOnce,
+      BooleanSupplier isCandidate) {
     this(
         self,
         lagging,
@@ -122,6 +136,7 @@
         ticker,
         settleMs,
         loadsAtOnce,
+        isCandidate,
         Executors.newFixedThreadPool(CALLERS, Duty.daemon("weights-reports")),
         Executors.newFixedThreadPool(CALLERS, Duty.daemon("weights-orders")));
   }
@@ -135,8 +150,10 @@
       Ticker ticker,
       long settleMs,
       ToIntFunction<String> loadsAtOnce,
+      BooleanSupplier isCandidate,
       ExecutorService reportCallers,
       ExecutorService orderCallers) {
+    this.isCandidate = isCandidate;
     this.self = self;
     this.lagging = lagging;
     this.lease = lease;
@@ -163,8 +180,7 @@
     }
     idleSteps = 0;
     laggingSteps++;
-    boolean wasLast = lastEpoch >= 0;
-    if (!wasLast && laggingSteps <= STEPS_FOR_LAST_HOLDER) {
+    if (!maySeek(now.size())) {
       return;
     }
     if (steps++ % STEPS_PER_RENEWAL == 0) {
@@ -181,9 +197,24 @@
     askAll(epoch.getAsLong());
   }
 
+  /** The last holder seeks the lease at once, candidates soon, others when nothing goes on. */
+  private boolean maySeek(int laggingNow) {
+    stillSteps = laggingNow == laggingBefore ? stillSteps + 1 : 0;
+    laggingBefore = laggingNow;
+    boolean wasLast = lastEpoch >= 0;
+    if (wasLast) {
+      return true;
+    }
+    return isCandidate.getAsBoolean()
+        ? laggingSteps > STEPS_FOR_LAST_HOLDER
+        : stillSteps > STEPS_FOR_OTHERS;
+  }
+
   /** Gives the lease back when nothing lags for a while. */
   private void rest() {
     laggingSteps = 0;
+    laggingBefore = 0;
+    stillSteps = 0;
     steps = 0;
     idleSteps++;
     if (idleSteps == STEPS_PER_RENEWAL && lease.token().isPresent()) {
--- a/landingtrack/src/test/java/org/landingtrack/internal/weights/VersionRolloutTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/weights/VersionRolloutTest.java
@@ -42,6 +42,7 @@
   private FakeTicker ticker = new FakeTicker();
   private FakeObjectApi api = new FakeObjectApi();
   private Engines engines = new Engines();
+  private boolean isCandidate = true;
   private CallsByHand reportCalls = new CallsByHand();
   private CallsByHand orderCalls = new CallsByHand();
 
@@ -51,6 +52,7 @@
     ticker.pass(100_000);
     api = new FakeObjectApi();
     engines = new Engines();
+    isCandidate = true;
     reportCalls = new CallsByHand();
     orderCalls = new CallsByHand();
   }
@@ -101,7 +103,16 @@
   private VersionRollout rollout(String self, List<Task> tasks) {
     Lease lease = new Lease(api, ticker, "weights", self, LEASE_MS);
     return new VersionRollout(
-        self, () -> tasks, lease, engines, ticker, SETTLE_MS, model -> 3, reportCalls, orderCalls);
+        self,
+        () -> tasks,
+        lease,
+        engines,
+        ticker,
+        SETTLE_MS,
+        model -> 3,
+        () -> isCandidate,
+        reportCalls,
+        orderCalls);
   }
 
   private void steps(VersionRollout rollout, int count) {
@@ -388,6 +399,21 @@
     return new EngineControl.Report(Map.of("m", version), false, ordersTaken, 0, startedMs);
   }
 
+  /** Each VM that seeks the lease calls the store twice a second while engines lag. */
+  @Test
+  public void othersSeekTheLeaseOnlyWhenNothingGoesOn() {
+    isCandidate = false;
+    List<Task> tasks = new ArrayList<>(engines.lagging(2));
+    VersionRollout rollout = rollout("a", tasks);
+    for (int done = 0; done < 5; done++) {
+      steps(rollout, 30);
+      tasks.remove(0);
+    }
+    assertEquals(api.writes(), 0);
+    steps(rollout, 45);
+    assertEquals(servers(), List.of("e6"), "the candidates are all gone");
+  }
+
   private void firstThreeBusy(int running) {
     for (String id : List.of("e1", "e2", "e3")) {
       engines.reports.put(id, new EngineControl.Report(Map.of("m", 1L), true, 1, running, 0));
