--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/LoadExchange.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/LoadExchange.java
@@ -130,9 +130,11 @@
   }
 
   private void take(LoadNews news) {
-    peers.heard(news);
+    boolean isLatest = peers.heard(news);
     news.stores().forEach(stores::heard);
-    feeds.heard(news.sender().address(), news.feeds());
+    if (isLatest) {
+      feeds.heard(news.sender().address(), news.feeds());
+    }
   }
 
   /** Sends one round of news. Runs on the loop. */
--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/PeerLoads.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/PeerLoads.java
@@ -115,17 +115,21 @@
     }
   }
 
-  /** Takes news; older ones than known of the same sender change nothing. */
-  public void heard(LoadNews news) {
+  /**
+   * Takes news; older ones than known of the same sender change nothing.
+   *
+   * @return true if they are the sender's latest
+   */
+  public boolean heard(LoadNews news) {
     String sender = news.sender().address();
     if (sender.equals(self.address())) {
-      return;
+      return false;
     }
     long now = ticker.millis();
     Peer peer = peers.computeIfAbsent(sender, name -> new Peer(news.sender()));
     boolean restarted = now - peer.heardAtMs > QUIET_MS;
     if (news.sequence() <= peer.sequence && !restarted) {
-      return;
+      return false;
     }
     if (restarted || news.sequence() - peer.sequence >= SEQUENCE_OF_ANOTHER_START) {
       newcomerAtMs = now;
@@ -141,6 +145,7 @@
       }
     }
     outdated = true;
+    return true;
   }
 
   /** Starts a round: forgets what is old and returns the messages that are due in it. */
--- a/landingtrack/src/main/java/org/landingtrack/internal/platform/FeedNewsBoard.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/platform/FeedNewsBoard.java
@@ -15,10 +15,12 @@
  */
 package org.landingtrack.internal.platform;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.landingtrack.internal.base.Awake;
 import org.landingtrack.internal.base.Ticker;
@@ -41,6 +43,7 @@
 
   private final Ticker ticker;
   private final Awake awake;
+  private final Set<String> prefixes;
   private final Map<String, Heard> latest = new HashMap<>();
   private final Map<String, Long> distrustedUntilMs = new HashMap<>();
   private long wakes;
@@ -59,8 +62,14 @@
     void proven(String prefix, long revision, long atMs);
   }
 
-  /** Creates a board without news; {@code awake} tells whether this process stood still. */
-  public FeedNewsBoard(Ticker ticker, Awake awake) {
+  /**
+   * Creates a board without news.
+   *
+   * @param awake tells whether this process stood still
+   * @param prefixes the kinds that are followed; news of others are dropped
+   */
+  public FeedNewsBoard(Ticker ticker, Awake awake, Collection<String> prefixes) {
+    this.prefixes = Set.copyOf(prefixes);
     this.ticker = ticker;
     this.awake = awake;
   }
@@ -77,6 +86,9 @@
     }
     long nowMs = ticker.millis();
     for (FeedNews each : news) {
+      if (!prefixes.contains(each.prefix())) {
+        continue;
+      }
       long atMs = nowMs - WAY_MS - Math.max(0, each.ageMs());
       note(new Heard(hub, each.revision(), each.changedRevision(), atMs), each.prefix());
       proofs.proven(each.prefix(), each.revision(), atMs);
--- a/landingtrack/src/test/java/org/landingtrack/internal/platform/RelayedObjectApiTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/platform/RelayedObjectApiTest.java
@@ -128,7 +128,7 @@
   private final class Vm implements RelayedObjectApi.HubClient {
     final Awake awake = new Awake(ticker);
     final FeedCache cache = new FeedCache();
-    final FeedNewsBoard board = new FeedNewsBoard(ticker, awake);
+    final FeedNewsBoard board = new FeedNewsBoard(ticker, awake, List.of(KIND));
     final DatedObjectApi dated = new DatedObjectApi(store, ticker, awake);
     final RelayedObjectApi api =
         new RelayedObjectApi(
