Tries that break off are told with the digest of their request

Measured: DecisionLinesTest#aTryThatBrokeOffTellsWhichRequestItWas; 0 cost for requests that end well.

--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/BoundedDecisionLog.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/BoundedDecisionLog.java
@@ -97,6 +97,12 @@
     lines.tryFailed(run, server, outcome, why);
   }
 
+  @Override
+  public void brokeOff(RequestRun run, String server, String outcome, String why) {
+    writeHeld(run);
+    lines.brokeOff(run, server, outcome, why);
+  }
+
   @Override
   public void answered(RequestRun run, String server, int status, long firstMs, long totalMs) {
     if (status < FIRST_FAILURE && held.remove(run) != null) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/DecisionLog.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/DecisionLog.java
@@ -65,6 +65,12 @@
   /** A try ended without an answer for the caller. */
   void tryFailed(RequestRun run, String server, String outcome, String why);
 
+  /**
+   * A try ended without an answer, and the server may have run the request, or ended under it. The
+   * line has the request's digest, by which it is known again when its caller sends it again.
+   */
+  void brokeOff(RequestRun run, String server, String outcome, String why);
+
   /** A request was answered by a backend server, whole or as a stream. */
   void answered(RequestRun run, String server, int status, long firstMs, long totalMs);
 
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/MeteredDecisionLog.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/MeteredDecisionLog.java
@@ -72,6 +72,12 @@
     log.tryFailed(run, server, outcome, why);
   }
 
+  @Override
+  public void brokeOff(RequestRun run, String server, String outcome, String why) {
+    failedTries.labelValues(run.service()).inc();
+    log.brokeOff(run, server, outcome, why);
+  }
+
   @Override
   public void answered(RequestRun run, String server, int status, long firstMs, long totalMs) {
     answered.labelValues(run.service(), Integer.toString(status)).inc();
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
@@ -18,6 +18,7 @@
 import org.jspecify.annotations.Nullable;
 import org.landingtrack.ErrorKind;
 import org.landingtrack.internal.base.Hashes;
+import org.landingtrack.internal.quarantine.RequestDigest;
 import org.landingtrack.internal.serving.BackendTransport.AnswerHead;
 import org.landingtrack.internal.serving.BackendTransport.NotRunReason;
 import org.landingtrack.internal.serving.BackendTransport.StreamEvent;
@@ -50,6 +51,7 @@
   private boolean streamStarted;
   private long firstMs = -1;
   private @Nullable String lastEventId;
+  private @Nullable RequestDigest digest;
   private boolean done;
 
   RequestRun(Serving serving, CallerRequest request, CallerSink sink) {
@@ -79,6 +81,18 @@
     return team == null ? "" : team.name();
   }
 
+  /** Returns what the request has in common with other tries of its caller. */
+  public RequestDigest digest() {
+    RequestDigest known = digest;
+    if (known == null) {
+      known =
+          RequestDigest.of(
+              teamName(), request.method(), request.host(), request.target(), request.body());
+      digest = known;
+    }
+    return known;
+  }
+
   /** Returns how long ago the request came. */
   public long ageMs() {
     return loop.millis() - request.receivedAtMs();
@@ -405,7 +419,7 @@
       attempt = null;
       history.mayHaveRun();
       noteFailure(sent, why);
-      serving.log().tryFailed(RequestRun.this, sent.serverId(), "in doubt", why);
+      serving.log().brokeOff(RequestRun.this, sent.serverId(), "in doubt", why);
       goOnInDoubt(why);
     }
 
@@ -415,7 +429,7 @@
       String why = "not begun before its weights had been replaced for too long";
       attempt = null;
       history.mayHaveRun();
-      serving.log().tryFailed(RequestRun.this, sent.serverId(), "withdrawn", why);
+      serving.log().brokeOff(RequestRun.this, sent.serverId(), "withdrawn", why);
       goOnInDoubt(why);
     }
 
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/StructuredDecisionLog.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/StructuredDecisionLog.java
@@ -75,6 +75,16 @@
         .log("try failed");
   }
 
+  @Override
+  public void brokeOff(RequestRun run, String server, String outcome, String why) {
+    line(run, Level.INFO)
+        .addKeyValue("server", server)
+        .addKeyValue("outcome", outcome)
+        .addKeyValue("why", why)
+        .addKeyValue("digest", run.digest().hex())
+        .log("try failed");
+  }
+
   @Override
   public void answered(RequestRun run, String server, int status, long firstMs, long totalMs) {
     line(run, Level.INFO)
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/DecisionLinesTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/DecisionLinesTest.java
@@ -79,6 +79,27 @@
     }
   }
 
+  /** Tries of a caller have ids of their own; that two of them are one request is told as well. */
+  @Test
+  public void aTryThatBrokeOffTellsWhichRequestItWas() throws Exception {
+    try (CapturedLines captured = new CapturedLines()) {
+      ServingWorld world = new ServingWorld();
+      for (String path : List.of("/never/x", "/never/x", "/never/y")) {
+        world.serve(path);
+        world.transport.last().listener.broken("reset");
+      }
+      List<String> digests = new ArrayList<>();
+      for (JsonNode line : parse(captured.lines())) {
+        if (line.path("event").asText().equals("try failed")) {
+          digests.add(line.path("digest").asText());
+        }
+      }
+      assertEquals(digests.get(0).length(), 32);
+      assertEquals(digests.get(1), digests.get(0));
+      assertTrue(!digests.get(2).equals(digests.get(0)));
+    }
+  }
+
   /** A request on older weights than named can be traced: who knew what, since when, and how. */
   @Test
   public void linesTellSinceWhenWeightsCountAsNamed() throws Exception {
