A request under which three servers ended gets no further server, on any VM

Cause: what broke off was charged to the server alone, and a request was known by its id alone, for one try at one VM; nothing was told to other VMs or outlived a process. So each repeat of one request ended the next engine. What broke off at a server that proves to have ended (connections refused at once, another start, entry gone unannounced) is charged with that start; what ends well later is cleared. What was sent meanwhile and did not begin is taken back; a suspect that breaks off again is not sent again at once.

--- a/landingtrack/src/main/java/org/landingtrack/ErrorKind.java
+++ b/landingtrack/src/main/java/org/landingtrack/ErrorKind.java
@@ -38,6 +38,8 @@
   RATE_LIMITED(429, "RESOURCE_EXHAUSTED", RunState.NOT_RUN, 1),
   OVERLOADED(503, "UNAVAILABLE", RunState.NOT_RUN, 2),
   NO_BACKEND_SERVER(503, "UNAVAILABLE", RunState.NOT_RUN, 2),
+  /** Servers ended under the same request of the same caller before; it gets no further one. */
+  QUARANTINED(503, "UNAVAILABLE", RunState.NOT_RUN, 3_600),
   STOPPING(503, "UNAVAILABLE", RunState.NOT_RUN, 1),
   PLATFORM_UNAVAILABLE(503, "UNAVAILABLE", RunState.NOT_RUN, 5),
   NOT_READY(503, "UNAVAILABLE", RunState.NOT_RUN, 2),
--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/LoadExchange.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/LoadExchange.java
@@ -33,6 +33,7 @@
 import org.landingtrack.internal.loads.LoadNews.Load;
 import org.landingtrack.internal.loads.LoadNews.Sighting;
 import org.landingtrack.internal.loads.PeerLoads.Mail;
+import org.landingtrack.internal.quarantine.Quarantine;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -50,6 +51,7 @@
   private final Supplier<List<Load>> own;
   private final StoreNewsBoard stores;
   private final FeedNewsExchange feeds;
+  private final Quarantine quarantine;
   private final Executor loop;
   private final DatagramSocket socket;
 
@@ -90,6 +92,7 @@
    *
    * @param own what this VM has under way; asked on the loop
    * @param feeds what hubs say of the Object API
+   * @param quarantine what VMs know of requests under which servers ended
    * @param loop runs whatever touches {@code peers} and {@code stores}
    */
   public LoadExchange(
@@ -97,9 +100,11 @@
       Supplier<List<Load>> own,
       StoreNewsBoard stores,
       FeedNewsExchange feeds,
+      Quarantine quarantine,
       Executor loop)
       throws IOException {
     this.feeds = feeds;
+    this.quarantine = quarantine;
     this.peers = peers;
     this.own = own;
     this.stores = stores;
@@ -132,6 +137,7 @@
   private void take(LoadNews news) {
     boolean isLatest = peers.heard(news);
     news.stores().forEach(stores::heard);
+    quarantine.heard(news.suspects());
     if (isLatest) {
       feeds.heard(news.sender().address(), news.feeds());
     }
@@ -144,6 +150,7 @@
     if (mails.isEmpty()) {
       return;
     }
+    quarantine.nextRound();
     List<Load> loads = own.get();
     List<Sighting> seen = peers.sightings();
     sequence++;
@@ -167,7 +174,8 @@
               seen,
               told,
               stores.news(kind),
-              kind == Kind.ALL ? feeds.news() : List.of()));
+              kind == Kind.ALL ? feeds.news() : List.of(),
+              quarantine.news()));
     } catch (IOException e) {
       throw new IllegalStateException("news cannot be encoded", e);
     }
--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/LoadNews.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/LoadNews.java
@@ -16,6 +16,7 @@
 package org.landingtrack.internal.loads;
 
 import java.util.List;
+import org.landingtrack.internal.quarantine.SuspectNews;
 
 /**
  * What one VM tells another by one datagram, as MessagePack without names.
@@ -27,6 +28,7 @@
  * @param loads requests under way, for servers where there are any
  * @param stores news of stores of prompt parts
  * @param feeds how far the sender has read of the Object API itself; only hubs tell
+ * @param suspects requests under which servers ended
  */
 public record LoadNews(
     Vm sender,
@@ -35,15 +37,17 @@
     List<Sighting> seen,
     List<Load> loads,
     List<StoreNews> stores,
-    List<FeedNews> feeds) {
+    List<FeedNews> feeds,
+    List<SuspectNews> suspects) {
   public LoadNews {
+    suspects = List.copyOf(suspects);
     feeds = List.copyOf(feeds);
     seen = List.copyOf(seen);
     loads = List.copyOf(loads);
     stores = List.copyOf(stores);
   }
 
-  /** Creates news that tell nothing of the Object API. */
+  /** Creates news that tell nothing of the Object API and of suspects. */
   public LoadNews(
       Vm sender,
       long sequence,
@@ -51,7 +55,7 @@
       List<Sighting> seen,
       List<Load> loads,
       List<StoreNews> stores) {
-    this(sender, sequence, kind, seen, loads, stores, List.of());
+    this(sender, sequence, kind, seen, loads, stores, List.of(), List.of());
   }
 
   /** Whose requests a message counts. */
--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/LoadNewsCodec.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/LoadNewsCodec.java
@@ -23,6 +23,8 @@
 import org.landingtrack.internal.loads.LoadNews.Sighting;
 import org.landingtrack.internal.loads.LoadNews.Vm;
 import org.landingtrack.internal.loads.StoreNews.Change;
+import org.landingtrack.internal.quarantine.RequestDigest;
+import org.landingtrack.internal.quarantine.SuspectNews;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
@@ -37,10 +39,10 @@
   /** Entries of any list; the largest datagram has room for fewer. */
   private static final int MAX_ENTRIES = 10_000;
 
-  private static final int FIELDS = 7;
+  private static final int FIELDS = 8;
 
-  /** Processes of the release before say nothing of the Object API. */
-  private static final int FIELDS_BEFORE = 6;
+  /** Processes of the release before say nothing of suspects. */
+  private static final int FIELDS_BEFORE = 7;
 
   private LoadNewsCodec() {}
 
@@ -72,10 +74,32 @@
         packer.packLong(feed.changedRevision());
         packer.packLong(feed.ageMs());
       }
+      packer.packArrayHeader(news.suspects().size());
+      for (SuspectNews suspect : news.suspects()) {
+        pack(packer, suspect);
+      }
       return packer.toByteArray();
     }
   }
 
+  private static void pack(MessageBufferPacker packer, SuspectNews suspect) throws IOException {
+    packer.packArrayHeader(7);
+    packer.packLong(suspect.digest().high());
+    packer.packLong(suspect.digest().low());
+    packer.packInt(suspect.digest().bodyBytes());
+    packLongs(packer, suspect.ended());
+    packLongs(packer, suspect.cleared());
+    packer.packLong(suspect.agoMs());
+    packer.packBoolean(suspect.saved());
+  }
+
+  private static void packLongs(MessageBufferPacker packer, List<Long> numbers) throws IOException {
+    packer.packArrayHeader(numbers.size());
+    for (long number : numbers) {
+      packer.packLong(number);
+    }
+  }
+
   private static void pack(MessageBufferPacker packer, Vm vm) throws IOException {
     packer.packArrayHeader(3);
     packer.packString(vm.address());
@@ -125,7 +149,8 @@
           sightings(unpacker),
           loads(unpacker),
           stores(unpacker),
-          fields == FIELDS ? feeds(unpacker) : List.of());
+          feeds(unpacker),
+          fields == FIELDS ? suspects(unpacker) : List.of());
     } catch (MessagePackException | IllegalArgumentException e) {
       throw new IOException("no news: " + e, e);
     }
@@ -204,6 +229,29 @@
     return list;
   }
 
+  private static List<SuspectNews> suspects(MessageUnpacker unpacker) throws IOException {
+    List<SuspectNews> list = new ArrayList<>();
+    for (int left = size(unpacker); left > 0; left--) {
+      expect(unpacker, 7);
+      list.add(
+          new SuspectNews(
+              new RequestDigest(unpacker.unpackLong(), unpacker.unpackLong(), unpacker.unpackInt()),
+              longs(unpacker),
+              longs(unpacker),
+              unpacker.unpackLong(),
+              unpacker.unpackBoolean()));
+    }
+    return list;
+  }
+
+  private static List<Long> longs(MessageUnpacker unpacker) throws IOException {
+    List<Long> list = new ArrayList<>();
+    for (int left = size(unpacker); left > 0; left--) {
+      list.add(unpacker.unpackLong());
+    }
+    return list;
+  }
+
   private static List<Change> changes(MessageUnpacker unpacker) throws IOException {
     List<Change> list = new ArrayList<>();
     for (int left = size(unpacker); left > 0; left--) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/quarantine/RequestDigest.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/quarantine/RequestDigest.java
@@ -24,8 +24,12 @@
  * What stays the same when a caller sends a request again: its team, path and body. Another try has
  * another id and may come to another VM. The first 128 bits of a SHA-256, so that nobody finds a
  * request that is taken for somebody else's.
+ *
+ * @param bodyBytes length of the body, by which most requests are told apart without a digest
  */
-public record RequestDigest(long high, long low) {
+public record RequestDigest(long high, long low, int bodyBytes) {
+  private static final int HEX = 16;
+
   /**
    * Digests a request.
    *
@@ -42,11 +46,22 @@
       sha.update(bytes);
     }
     ByteBuffer digest = ByteBuffer.wrap(sha.digest(body));
-    return new RequestDigest(digest.getLong(), digest.getLong());
+    return new RequestDigest(digest.getLong(), digest.getLong(), body.length);
   }
 
   /** Returns the digest in hex, as log lines tell it. */
   public String hex() {
     return String.format("%016x%016x", high, low);
   }
+
+  /** Reads a digest that {@link #hex} wrote; throws {@link IllegalArgumentException} for others. */
+  static RequestDigest parse(String hex, int bodyBytes) {
+    if (hex.length() != 2 * HEX) {
+      throw new IllegalArgumentException("no digest: " + hex);
+    }
+    return new RequestDigest(
+        Long.parseUnsignedLong(hex.substring(0, HEX), HEX),
+        Long.parseUnsignedLong(hex.substring(HEX), HEX),
+        bodyBytes);
+  }
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/Attempt.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/Attempt.java
@@ -120,6 +120,11 @@
     return plan.backend();
   }
 
+  /** Returns true if the server began to answer. */
+  boolean hasBegun() {
+    return head != null;
+  }
+
   String serverId() {
     return plan.backend().entry().id();
   }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/Backend.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/Backend.java
@@ -49,6 +49,7 @@
   private long ejectedUntilMs;
   private long refusedUntilMs;
   private boolean replaced;
+  private boolean ended;
   private final KeptParts kept = new KeptParts();
   private final EngineTiming timing;
   private final LinkBacklog backlog = new LinkBacklog();
@@ -174,6 +175,7 @@
   }
 
   void succeeded() {
+    ended = false;
     failures = 0;
     ejections = 0;
   }
@@ -241,6 +243,15 @@
     return replaced;
   }
 
+  /** Notes that this start ended under what it had; an answer of it proves that wrong. */
+  void end() {
+    ended = true;
+  }
+
+  boolean hasEnded() {
+    return ended;
+  }
+
   /** Forgets all parts, after the server's weights changed. */
   void forgetParts() {
     kept.clear();
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/BackendTransport.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/BackendTransport.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
 /** Sends requests to backend servers. Called and calling back on the event loop only. */
@@ -25,6 +26,13 @@
   /** Sends a call; the listener hears of it until one of its ends, or until it is cancelled. */
   Exchange send(BackendCall call, Listener listener);
 
+  /**
+   * Opens a connection to an address and closes it again.
+   *
+   * @param refused hears whether the address refused it: nobody listens there any more
+   */
+  void probe(String address, Consumer<Boolean> refused);
+
   /** Forgets connections to a server that is gone. */
   void forget(String serverId);
 
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/BoundedDecisionLog.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/BoundedDecisionLog.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import org.landingtrack.ErrorKind;
+import org.landingtrack.internal.quarantine.Quarantine.Suspicion;
 import org.landingtrack.internal.serving.ServingState.Heard;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -130,6 +131,11 @@
     lines.server(change, entry, revision);
   }
 
+  @Override
+  public void suspected(Suspicion suspicion) {
+    lines.suspected(suspicion);
+  }
+
   @Override
   public void ejected(String server, String why) {
     lines.ejected(server, why);
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/DecisionLog.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/DecisionLog.java
@@ -16,6 +16,7 @@
 package org.landingtrack.internal.serving;
 
 import org.landingtrack.ErrorKind;
+import org.landingtrack.internal.quarantine.Quarantine.Suspicion;
 import org.landingtrack.internal.serving.ServingState.Heard;
 
 /** Hears of each decision that touches a request or changes what this VM believes. */
@@ -83,6 +84,9 @@
   /** What is known of a backend server changed. */
   void server(String change, ServerEntry entry, long revision);
 
+  /** A request is blamed for one server more, gets no further one, or is cleared. */
+  void suspected(Suspicion suspicion);
+
   /** A server gets no requests for a while. */
   void ejected(String server, String why);
 
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/MeteredDecisionLog.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/MeteredDecisionLog.java
@@ -19,6 +19,7 @@
 import io.prometheus.metrics.core.metrics.Histogram;
 import org.landingtrack.ErrorKind;
 import org.landingtrack.internal.base.Metrics;
+import org.landingtrack.internal.quarantine.Quarantine.Suspicion;
 import org.landingtrack.internal.serving.ServingState.Heard;
 
 /**
@@ -34,6 +35,7 @@
   private final Counter cut;
   private final Counter failedTries;
   private final Counter serverChanges;
+  private final Counter suspicions;
   private final Histogram first;
   private final Histogram total;
 
@@ -54,6 +56,11 @@
             "service");
     this.serverChanges =
         metrics.counter("landingtrack_server_changes_total", "News of servers.", "change");
+    this.suspicions =
+        metrics.counter(
+            "landingtrack_suspicions_total",
+            "Changes of what requests are blamed for: ends of servers.",
+            "change");
     this.first =
         metrics.histogram(
             "landingtrack_first_event_seconds", "Until the first byte of an answer.", "service");
@@ -104,6 +111,12 @@
     log.server(change, entry, revision);
   }
 
+  @Override
+  public void suspected(Suspicion suspicion) {
+    suspicions.labelValues(suspicion.change().name()).inc();
+    log.suspected(suspicion);
+  }
+
   @Override
   public void ejected(String server, String why) {
     serverChanges.labelValues("ejected").inc();
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
@@ -18,6 +18,7 @@
 import org.jspecify.annotations.Nullable;
 import org.landingtrack.ErrorKind;
 import org.landingtrack.internal.base.Hashes;
+import org.landingtrack.internal.quarantine.Quarantine;
 import org.landingtrack.internal.quarantine.RequestDigest;
 import org.landingtrack.internal.serving.BackendTransport.AnswerHead;
 import org.landingtrack.internal.serving.BackendTransport.NotRunReason;
@@ -146,6 +147,10 @@
     if (done || current == null || admitted == null) {
       return;
     }
+    if (isQuarantined()) {
+      endQuarantined();
+      return;
+    }
     SendPlan plan = current.plan(history.tried());
     if (plan == null) {
       failWithout("no usable server of " + service);
@@ -208,6 +213,40 @@
     return current != null && EngineAdmission.isLate(ageMs(), current.targetLatencyMs());
   }
 
+  private boolean isQuarantined() {
+    return serverEnds() >= Quarantine.MAX_ENDS;
+  }
+
+  /** Returns how many servers ended under the request, in all its tries at all VMs. */
+  private int serverEnds() {
+    Quarantine quarantine = serving.state().quarantine();
+    return quarantine.mayKnow(request.body().length) ? quarantine.ends(digest()) : 0;
+  }
+
+  private void endQuarantined() {
+    String why = serverEnds() + " servers ended under this request, digest " + digest().hex();
+    boolean mayNotBeRepeated = route != null && route.repeat() == Repeat.NEVER;
+    if (streamStarted || (history.inDoubt() && mayNotBeRepeated)) {
+      failWithout(why);
+      return;
+    }
+    refuse(ErrorKind.QUARANTINED, why, serving.state().quarantine().leftMs(digest()));
+  }
+
+  /** Tells that a request gets no further server: if it is this one, none is to begin it. */
+  void quarantined(RequestDigest held) {
+    boolean isThis = !done && request.body().length == held.bodyBytes() && digest().equals(held);
+    Attempt current = attempt;
+    if (!isThis || (current != null && current.hasBegun())) {
+      return;
+    }
+    if (current != null) {
+      cancel(current);
+      history.mayHaveRun();
+    }
+    endQuarantined();
+  }
+
   private boolean maySendAgain() {
     Route current = route;
     return current != null && history.maySendAgain(current, endsAtMs - loop.millis());
@@ -338,6 +377,7 @@
         }
         case OTHER_SERVER -> {
           sent.backend().replacedByAnother();
+          serving.ends().ended(sent.backend());
           serving.log().ejected(sent.serverId(), "another start has its address");
         }
         case FULL -> sent.backend().refused(loop.millis());
@@ -393,6 +433,9 @@
         }
       } else {
         sent.succeeded();
+        if (serverEnds() > 0) {
+          serving.state().quarantine().endedWell(digest());
+        }
       }
       if (streamStarted && !answer.isStream()) {
         cut("a resumed stream was answered with status " + answer.status());
@@ -420,6 +463,7 @@
       history.mayHaveRun();
       noteFailure(sent, why);
       serving.log().brokeOff(RequestRun.this, sent.serverId(), "in doubt", why);
+      serving.ends().brokeOff(digest(), sent.backend());
       goOnInDoubt(why);
     }
 
@@ -435,6 +479,8 @@
 
     private void goOnInDoubt(String why) {
       boolean mayGoOn = !streamStarted || (route != null && route.repeat() == Repeat.RESUME);
+      // Whether the server ended is known a moment later, and then it may be the last one allowed.
+      mayGoOn &= serverEnds() < Quarantine.MAX_ENDS - 1;
       if (mayGoOn && trySendAgain()) {
         return;
       }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerBook.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerBook.java
@@ -47,6 +47,7 @@
   private final Map<String, Backend> backends = new HashMap<>();
   private final Map<String, Map<String, Backend>> byService = new HashMap<>();
   private Consumer<Backend> startEnded = ended -> {};
+  private Consumer<Backend> goneUnannounced = gone -> {};
   private boolean known;
   private long listedAtMs;
   private long storeBackAtMs;
@@ -73,6 +74,11 @@
     startEnded = listener;
   }
 
+  /** Tells {@code listener} from now on of each server that is gone without having said so. */
+  void onGoneUnannounced(Consumer<Backend> listener) {
+    goneUnannounced = listener;
+  }
+
   /** Returns true once the list of servers was read. */
   public boolean known() {
     return known;
@@ -196,6 +202,9 @@
     }
     backend.removed(sinceMs, loop.millis());
     log.server("gone", backend.entry(), revision);
+    if (!backend.entry().leaving()) {
+      goneUnannounced.accept(backend);
+    }
   }
 
   /** Forgets servers that have been gone for long; returns their ids. */
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/Serving.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/Serving.java
@@ -19,6 +19,8 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import org.landingtrack.internal.quarantine.Quarantine.Change;
+import org.landingtrack.internal.quarantine.Quarantine.Suspicion;
 
 /** Serves requests: makes a run of each and keeps account of those under way. */
 public final class Serving {
@@ -29,6 +31,7 @@
   private final ServingOptions options;
   private final Set<RequestRun> running = new HashSet<>();
   private final WaitingRuns waiting;
+  private final ServerEnds ends;
 
   public Serving(
       EventLoop loop,
@@ -42,7 +45,10 @@
     this.log = log;
     this.options = options;
     this.waiting = new WaitingRuns(loop);
+    this.ends = new ServerEnds(state.quarantine(), loop, transport);
     state.servers().onStartEnded(this::startEnded);
+    state.servers().onGoneUnannounced(ends::ended);
+    state.quarantine().onChange(this::suspicionChanged);
   }
 
   /**
@@ -51,11 +57,22 @@
    */
   private void startEnded(Backend ended) {
     transport.forget(ended.entry().id());
+    ends.ended(ended);
     for (RequestRun run : List.copyOf(running)) {
       run.serverStartedAgain(ended);
     }
   }
 
+  /**
+   * What several VMs have sent at the same time is taken back from servers that did not begin it.
+   */
+  private void suspicionChanged(Suspicion suspicion) {
+    log.suspected(suspicion);
+    if (suspicion.change() == Change.QUARANTINED) {
+      loop.execute(() -> List.copyOf(running).forEach(run -> run.quarantined(suspicion.digest())));
+    }
+  }
+
   /** Begins to serve a request; tell the run if the caller leaves. */
   public RequestRun serve(CallerRequest request, CallerSink sink) {
     RequestRun run = new RequestRun(this, request, sink);
@@ -82,6 +99,10 @@
     }
   }
 
+  ServerEnds ends() {
+    return ends;
+  }
+
   WaitingRuns waiting() {
     return waiting;
   }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServingState.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServingState.java
@@ -27,6 +27,7 @@
 import org.landingtrack.internal.dispatch.RetryBudget;
 import org.landingtrack.internal.loads.LoadNews.Load;
 import org.landingtrack.internal.loads.PeerLoads;
+import org.landingtrack.internal.quarantine.Quarantine;
 
 /**
  * What this VM believes: the configuration in force, the backend servers and the weights that were
@@ -43,6 +44,7 @@
   private final ServerBook servers;
   private final PartStores parts;
   private final PeerLoads peerLoads;
+  private final Quarantine quarantine;
   private final DecisionLog log;
   private final Map<String, List<NamedWeights>> weights = new HashMap<>();
   private final Map<String, RetryBudget> retries = new HashMap<>();
@@ -82,6 +84,7 @@
     this.loop = loop;
     this.servers = servers;
     this.parts = new PartStores(loop, peerLoads);
+    this.quarantine = new Quarantine(loop);
     this.log = log;
     this.maxSavedRetries = maxSavedRetries;
   }
@@ -147,6 +150,11 @@
     return loads;
   }
 
+  /** Returns the requests under which servers ended. */
+  public Quarantine quarantine() {
+    return quarantine;
+  }
+
   PeerLoads peerLoads() {
     return peerLoads;
   }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/StructuredDecisionLog.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/StructuredDecisionLog.java
@@ -15,7 +15,9 @@
  */
 package org.landingtrack.internal.serving;
 
+import java.util.Locale;
 import org.landingtrack.ErrorKind;
+import org.landingtrack.internal.quarantine.Quarantine.Suspicion;
 import org.landingtrack.internal.serving.ServingState.Heard;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -27,6 +29,7 @@
   private static final Logger requests = LoggerFactory.getLogger("request");
   private static final Logger servers = LoggerFactory.getLogger("servers");
   private static final Logger config = LoggerFactory.getLogger("config");
+  private static final Logger quarantine = LoggerFactory.getLogger("quarantine");
   private static final Logger weights = LoggerFactory.getLogger("weights");
 
   private static LoggingEventBuilder line(RequestRun run, Level level) {
@@ -120,6 +123,17 @@
         .log("server " + change);
   }
 
+  @Override
+  public void suspected(Suspicion suspicion) {
+    quarantine
+        .atInfo()
+        .addKeyValue("digest", suspicion.digest().hex())
+        .addKeyValue("bodyBytes", suspicion.digest().bodyBytes())
+        .addKeyValue("ends", suspicion.ends())
+        .addKeyValue("seenHere", suspicion.seenHere())
+        .log("request " + suspicion.change().name().toLowerCase(Locale.ROOT));
+  }
+
   @Override
   public void ejected(String server, String why) {
     servers.atInfo().addKeyValue("server", server).addKeyValue("why", why).log("server ejected");
--- a/landingtrack/src/test/java/org/landingtrack/internal/loads/LoadExchangeTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/loads/LoadExchangeTest.java
@@ -30,6 +30,7 @@
 import org.landingtrack.internal.loads.LoadNews.Kind;
 import org.landingtrack.internal.loads.LoadNews.Load;
 import org.landingtrack.internal.loads.LoadNews.Vm;
+import org.landingtrack.internal.quarantine.Quarantine;
 import org.testng.annotations.Test;
 
 /** News over real datagrams. */
@@ -82,7 +83,8 @@
     long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(LONGEST_S);
     while (true) {
       try {
-        return new LoadExchange(peers, own, NO_STORES, NO_FEEDS, this::onLoop);
+        return new LoadExchange(
+            peers, own, NO_STORES, NO_FEEDS, new Quarantine(ticker), this::onLoop);
       } catch (BindException e) {
         if (System.nanoTime() > endNs) {
           throw e;
--- a/landingtrack/src/test/java/org/landingtrack/internal/loads/LoadNewsCodecTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/loads/LoadNewsCodecTest.java
@@ -29,6 +29,8 @@
 import org.landingtrack.internal.loads.LoadNews.Sighting;
 import org.landingtrack.internal.loads.LoadNews.Vm;
 import org.landingtrack.internal.loads.StoreNews.Change;
+import org.landingtrack.internal.quarantine.RequestDigest;
+import org.landingtrack.internal.quarantine.SuspectNews;
 import org.testng.annotations.Test;
 
 /** News are read as they were written, and bytes that are none are refused. */
@@ -49,7 +51,15 @@
                   1_790_000_000_100L,
                   5,
                   7,
-                  List.of(new Change(true, "v1/ab", 500), new Change(false, "v1/é", 0)))));
+                  List.of(new Change(true, "v1/ab", 500), new Change(false, "v1/é", 0)))),
+          List.of(),
+          List.of(
+              new SuspectNews(
+                  new RequestDigest(-7, Long.MIN_VALUE, 18_000),
+                  List.of(42L, -42L),
+                  List.of(42L),
+                  1_500,
+                  true)));
 
   private static LoadNews decode(byte[] bytes) throws IOException {
     return LoadNewsCodec.decode(bytes, bytes.length);
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/CrashingRequestTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/CrashingRequestTest.java
@@ -16,8 +16,13 @@
 package org.landingtrack.internal.serving;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
+import java.util.ArrayList;
+import java.util.List;
+import org.landingtrack.internal.quarantine.RequestDigest;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /**
@@ -36,6 +41,12 @@
  */
 public final class CrashingRequestTest {
   private static final String PATH = "/never/x";
+  private static final RequestDigest DIGEST = digest(PATH);
+  private static final RequestDigest SAFE_DIGEST = digest("/safe/x");
+
+  private static RequestDigest digest(String path) {
+    return RequestDigest.of("team-1", "POST", "host", path, new byte[0]);
+  }
 
   private ServingWorld world = new ServingWorld();
   private int starts;
@@ -55,12 +66,22 @@
     world.loop.advance(1_000);
   }
 
-  @Test
-  public void aRequestUnderWhichThreeServersEndedGetsNoFurtherServer() {
+  private void threeServersEnd(String path) {
     for (int i = 0; i < 3; i++) {
-      world.serve(PATH);
+      world.serve(path);
       serverEnds(world.transport.last());
     }
+  }
+
+  private static void tell(ServingWorld from, ServingWorld to) {
+    from.state.quarantine().nextRound();
+    to.state.quarantine().heard(from.state.quarantine().news());
+    to.loop.advance(1);
+  }
+
+  @Test
+  public void aRequestUnderWhichThreeServersEndedGetsNoFurtherServer() {
+    threeServersEnd(PATH);
     for (int i = 0; i < 5; i++) {
       RecordingSink sink = world.serve(PATH);
       assertEquals(sink.seen.toString().startsWith("refused "), true, sink.seen.toString());
@@ -68,4 +89,137 @@
     }
     assertEquals(world.transport.sends.size(), 3);
   }
+
+  /** The refusal is final for an hour, and says so; others of the same caller are served. */
+  @Test
+  public void itsCallerIsToldToStayAwayAndOthersAreServed() {
+    threeServersEnd(PATH);
+    RecordingSink sink = world.serve(PATH);
+    assertEquals(sink.seen.toString(), "refused QUARANTINED");
+    assertTrue(sink.retryAfterMs > 3_590_000, "come back in " + sink.retryAfterMs);
+    RecordingSink other = world.serve("/never/y");
+    world.transport.last().answer(200, "hello");
+    assertEquals(other.seen.toString(), "answer 200 hello");
+  }
+
+  /** Each end was seen by another VM; a fourth VM that started meanwhile saw none. */
+  @Test
+  public void whatOneVmSawAllKnow() {
+    List<ServingWorld> vms = new ArrayList<>();
+    for (int i = 1; i <= 3; i++) {
+      ServingWorld vm = new ServingWorld();
+      vm.book.replaceAll(List.of(ServingWorld.plain("p" + i, "dc-1")), 2);
+      vm.serve(PATH);
+      vm.transport.last().listener.broken("closed");
+      vm.transport.probes.get(0).accept(true);
+      vms.add(vm);
+    }
+    tell(vms.get(0), vms.get(1));
+    tell(vms.get(1), vms.get(2));
+    ServingWorld started = new ServingWorld();
+    tell(vms.get(2), started);
+    assertEquals(started.serve(PATH).seen.toString(), "refused QUARANTINED");
+    tell(vms.get(2), vms.get(0));
+    assertEquals(vms.get(0).serve(PATH).seen.toString(), "refused QUARANTINED");
+  }
+
+  /** Two VMs have sent it when a third one sees the last end: no server is to begin it any more. */
+  @Test
+  public void whatWasSentMeanwhileIsTakenBackFromServersThatDidNotBeginIt() {
+    RecordingSink sink = world.serve(PATH);
+    FakeTransport.Sent sent = world.transport.last();
+    for (long start = 1; start <= 3; start++) {
+      world.state.quarantine().charge(DIGEST, start);
+    }
+    world.loop.advance(1);
+    assertTrue(sent.cancelled);
+    assertEquals(sink.seen.toString(), "refused OUTCOME_UNKNOWN", "it may have begun all the same");
+  }
+
+  /** The next server would be begun on before the end of the last one is proved. */
+  @Test
+  public void aSuspectThatBrokeOffAgainIsNotSentToTheNextServerAtOnce() {
+    world.serve("/safe/x");
+    FakeTransport.Sent sent = world.transport.last();
+    for (long start = 1; start <= 2; start++) {
+      world.state.quarantine().charge(SAFE_DIGEST, start);
+    }
+    sent.listener.broken("closed");
+    assertEquals(world.transport.sends.size(), 1, "whether the server ended is not known yet");
+  }
+
+  @DataProvider
+  public Object[][] proofs() {
+    return new Object[][] {{"refused"}, {"gone"}, {"another start"}};
+  }
+
+  /** The address refuses connections at once; the entry goes seconds later. */
+  @Test(dataProvider = "proofs")
+  public void thatAServerEndedIsProved(String proof) {
+    world.serve(PATH);
+    FakeTransport.Sent sent = world.transport.last();
+    String id = sent.call.serverId();
+    world.book.put(ServingWorld.plain(id, "dc-1").startedAt(4_000), 2);
+    sent.listener.broken("closed");
+    assertEquals(world.state.quarantine().ends(DIGEST), 0, "a broken connection is no proof");
+    switch (proof) {
+      case "refused" -> world.transport.probes.get(0).accept(true);
+      case "gone" -> world.book.remove(id, 3);
+      default -> world.book.put(ServingWorld.plain(id, "dc-1").startedAt(5_000), 3);
+    }
+    assertEquals(world.state.quarantine().ends(DIGEST), 1);
+  }
+
+  /** Resets, spoilt answers and planned ends charge nobody. */
+  @Test
+  public void serversThatDoNotEndUnderARequestChargeNobody() {
+    world.serve(PATH);
+    world.transport.last().listener.broken("reset");
+    world.transport.probes.get(0).accept(false);
+    world.loop.advance(11_000);
+    world.book.remove(world.transport.last().call.serverId(), 2);
+    assertEquals(world.state.quarantine().ends(DIGEST), 0);
+
+    world.serve(PATH);
+    FakeTransport.Sent planned = world.transport.last();
+    String id = planned.call.serverId();
+    world.book.put(ServingWorld.leaving(ServingWorld.plain(id, "dc-1")), 3);
+    planned.listener.broken("closed");
+    world.book.remove(id, 4);
+    assertEquals(world.state.quarantine().ends(DIGEST), 0);
+    assertEquals(world.transport.probes.size(), 1);
+  }
+
+  /** Ten requests of others share each server that ends, and end well when they come again. */
+  @Test
+  public void requestsThatSharedTheServersAreServedAgain() {
+    for (int end = 0; end < 8; end++) {
+      List<FakeTransport.Sent> shared = new ArrayList<>();
+      for (int i = 0; i < 10; i++) {
+        world.serve("/never/other" + i);
+        shared.add(world.transport.last());
+      }
+      String server = shared.get(0).call.serverId();
+      for (FakeTransport.Sent sent : shared) {
+        if (sent.call.serverId().equals(server)) {
+          sent.listener.broken("closed");
+        } else {
+          sent.answer(200, "hello");
+        }
+      }
+      serverEndsOnly(server);
+      for (int i = 0; i < 10; i++) {
+        RecordingSink again = world.serve("/never/other" + i);
+        world.transport.last().answer(200, "hello");
+        assertEquals(again.seen.toString(), "answer 200 hello", "after " + (end + 1) + " ends");
+      }
+    }
+  }
+
+  private void serverEndsOnly(String server) {
+    world.book.remove(server, 2);
+    starts++;
+    world.book.put(ServingWorld.plain("p" + starts, "dc-1"), 3);
+    world.loop.advance(1_000);
+  }
 }
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/FakeTransport.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/FakeTransport.java
@@ -18,11 +18,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 
 /** Keeps what is sent; the test plays the servers. */
 final class FakeTransport implements BackendTransport {
   final List<Sent> sends = new ArrayList<>();
   final List<String> forgotten = new ArrayList<>();
+  final List<Consumer<Boolean>> probes = new ArrayList<>();
 
   static final class Sent {
     final BackendCall call;
@@ -56,6 +58,11 @@
     return () -> sent.cancelled = true;
   }
 
+  @Override
+  public void probe(String address, Consumer<Boolean> refused) {
+    probes.add(refused);
+  }
+
   @Override
   public void forget(String serverId) {
     forgotten.add(serverId);
