The clock of the processes counts the time for which a VM was suspended

Cause: Ticker.SYSTEM is the steady clock, which stands still while a VM is suspended: after 7 s of that a lease was held on, and weights named meanwhile were dated as if at the waking, so older ones would be used 7 s too long, by a VM that counts as in touch 3 s after it woke. Change: time of day that runs ahead of the steady clock by more than 0.1 s counts as a suspension; a clock put forward makes what is known older than it is, once. A clock put back as far during a suspension hides it: open.

--- a/landingtrack/src/main/java/org/landingtrack/internal/base/Ticker.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/base/Ticker.java
@@ -22,8 +22,8 @@
  */
 @FunctionalInterface
 public interface Ticker {
-  /** The clock of this process. */
-  Ticker SYSTEM = () -> System.nanoTime() / 1_000_000;
+  /** The clock of this process; it counts the time for which the VM was suspended as well. */
+  Ticker SYSTEM = new SuspensionAwareTicker(System::nanoTime, System::currentTimeMillis);
 
   /** Returns milliseconds since some fixed point. */
   long millis();
--- /dev/null
+++ b/landingtrack/src/test/java/org/landingtrack/internal/base/SuspendedVmTest.java
@@ -0,0 +1,145 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.base;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.Random;
+import org.landingtrack.internal.lease.Lease;
+import org.landingtrack.internal.platform.DatedObjectApi;
+import org.landingtrack.internal.platform.FakeObjectApi;
+import org.landingtrack.internal.platform.ObjectApi;
+import org.landingtrack.internal.platform.ObjectApi.CallClass;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * A VM is suspended for seconds. The steady clock stands still meanwhile, the time of day runs on:
+ * measured by the steady clock alone, the VM still held its lease when it woke, and dated weights
+ * that were named while it was suspended as if they were named at this moment.
+ */
+public final class SuspendedVmTest {
+  private static final long SUSPENDED_MS = 7_000;
+  private static final String KIND = "weights";
+
+  private long steadyMs = 50_000;
+  private long timeOfDayMs = 1_790_000_000_000L;
+  private Ticker ticker = Ticker.SYSTEM;
+
+  @BeforeMethod
+  public void newClock() {
+    ticker = new SuspensionAwareTicker(() -> steadyMs * 1_000_000, () -> timeOfDayMs);
+  }
+
+  private void pass(long ms) {
+    steadyMs += ms;
+    timeOfDayMs += ms;
+  }
+
+  private void suspend(long ms) {
+    timeOfDayMs += ms;
+  }
+
+  @Test
+  public void theTimeOfASuspensionCounts() {
+    long before = ticker.millis();
+    pass(300);
+    suspend(SUSPENDED_MS);
+    assertEquals(ticker.millis(), before + 300 + SUSPENDED_MS);
+    pass(500);
+    suspend(SUSPENDED_MS);
+    assertEquals(ticker.millis(), before + 800 + 2 * SUSPENDED_MS);
+  }
+
+  /** A clock that is put back, and forward again, changes ages only to the safe side. */
+  @Test
+  public void aClockThatIsPutBackTakesNothingAway() {
+    long before = ticker.millis();
+    timeOfDayMs -= 2_400;
+    assertEquals(ticker.millis(), before);
+    pass(1_000);
+    timeOfDayMs += 2_400;
+    assertEquals(ticker.millis(), before + 1_000 + 2_400);
+  }
+
+  /** Corrections of the time of day by half a millisecond a second are no suspension. */
+  @Test
+  public void smallCorrectionsDoNotAddUp() {
+    long before = ticker.millis();
+    for (int second = 1; second <= 3_600; second++) {
+      pass(1_000);
+      timeOfDayMs += second % 2;
+      ticker.millis();
+    }
+    assertEquals(ticker.millis(), before + 3_600_000);
+  }
+
+  @Test
+  public void theClockNeverGoesBack() {
+    Random random = new Random(3);
+    long last = ticker.millis();
+    for (int step = 0; step < 20_000; step++) {
+      pass(random.nextInt(200));
+      if (random.nextInt(50) == 0) {
+        timeOfDayMs += random.nextInt(6_000) - 3_000;
+      }
+      long now = ticker.millis();
+      assertTrue(now >= last, "step " + step);
+      last = now;
+    }
+  }
+
+  @Test
+  public void aLeaseIsNotHeldThroughASuspension() {
+    Lease lease = new Lease(new FakeObjectApi(), ticker, "weights", "vm-1", 1_500);
+    lease.step();
+    assertTrue(lease.token().isPresent());
+    suspend(SUSPENDED_MS);
+    assertFalse(lease.token().isPresent());
+  }
+
+  /** The naming lies in the socket when the VM wakes; it is as old as the suspension. */
+  @Test
+  public void aNamingMeanwhileIsAsOldAsItIs() {
+    FakeObjectApi store = new FakeObjectApi();
+    DatedObjectApi dated = new DatedObjectApi(store, ticker, new Awake(ticker));
+    dated.list(CallClass.CONFIGURATION, KIND, "", 10);
+    pass(3_000);
+    store.write(CallClass.CONFIGURATION, KIND + "/m", "2", ObjectApi.ABSENT);
+    suspend(SUSPENDED_MS);
+    long revision = dated.watch(CallClass.CONFIGURATION, KIND, 0, 1_000).revision();
+    long madeAfterMs = dated.madeAfterMs(KIND, revision).orElseThrow();
+    assertEquals(ticker.millis() - madeAfterMs, 3_000 + SUSPENDED_MS);
+  }
+
+  /** What a process that stood still reads may have waited for it; a suspended one stood still. */
+  @Test
+  public void aSuspendedVmStoodStill() {
+    Awake awake = new Awake(ticker);
+    for (int i = 0; i < 30; i++) {
+      pass(100);
+      awake.tick();
+    }
+    assertEquals(awake.forMs(), 3_000);
+    suspend(SUSPENDED_MS);
+    assertEquals(awake.forMs(), 0);
+    awake.tick();
+    pass(100);
+    assertEquals(awake.forMs(), 100);
+  }
+}
