--- /dev/null
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/CrashingRequestSeedsTest.java
@@ -0,0 +1,126 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.serving;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Two requests end whatever server begins them, one of them a stream that is resumed, and come
+ * again and again at any of five VMs; servers also end for other reasons, and VMs are lost one by
+ * one and all at once, or hear nothing for seconds. Three seconds after its third end a request
+ * reaches three servers at most, by VMs without trouble; and no request is refused under which
+ * fewer than three servers ended.
+ */
+public final class CrashingRequestSeedsTest {
+  /** Days of each trouble; 1,000 were run by hand. */
+  private static final int SEEDS = 40;
+
+  private static final long DAY_MS = 60_000;
+  private static final long STEP_MS = 50;
+  private static final int MOST_LATER_SENDS = 3;
+
+  /** What else happens on a day. */
+  private enum Trouble {
+    NONE,
+    SERVERS_END,
+    VMS_LOST,
+    ALL_VMS_LOST,
+    VMS_STAND_STILL,
+    EVERYTHING
+  }
+
+  @DataProvider
+  public Object[][] troubles() {
+    Trouble[] all = Trouble.values();
+    Object[][] rows = new Object[all.length][1];
+    for (int i = 0; i < all.length; i++) {
+      rows[i][0] = all[i];
+    }
+    return rows;
+  }
+
+  @Test(dataProvider = "troubles")
+  public void aRequestThatEndsServersIsHeldWhateverElseHappens(Trouble trouble) {
+    int served = 0;
+    int shared = 0;
+    for (int seed = 0; seed < SEEDS; seed++) {
+      CrashingFleet fleet = day(trouble, seed);
+      String day = trouble + ", seed " + seed;
+      fleet.culprits.forEach(
+          (path, culprit) -> {
+            assertTrue(culprit.refused > 0, path + " was never refused, " + day);
+            assertTrue(
+                culprit.sentTooLate <= MOST_LATER_SENDS,
+                path + " was sent " + culprit.sentTooLate + " times more, " + day);
+          });
+      assertEquals(fleet.wronglyQuarantined, 0, day);
+      served += fleet.innocentServed;
+      shared += fleet.sharedThreeEnds;
+    }
+    assertTrue(served > SEEDS * DAY_MS / STEP_MS * 0.9, "served " + served);
+    assertEquals(shared, 0, "refused after three shared ends");
+  }
+
+  /**
+   * One in millions of requests is refused though it is innocent: it was resumed at the same engine
+   * as the deadly one, and its caller sent it again at the moment at which that one came again.
+   */
+  @Test
+  public void aRequestThatSharedThreeEndsIsRefused() {
+    CrashingFleet fleet = day(Trouble.VMS_STAND_STILL, 355);
+    assertEquals(fleet.sharedThreeEnds, 1);
+    assertEquals(fleet.wronglyQuarantined, 0);
+  }
+
+  private static CrashingFleet day(Trouble trouble, long seed) {
+    CrashingFleet fleet = new CrashingFleet(seed);
+    fleet.deadly("/never/deadly");
+    fleet.deadly("/chat/deadly");
+    int innocent = 0;
+    for (long at = 0; at < DAY_MS; at += STEP_MS) {
+      innocent++;
+      fleet.send((innocent % 2 == 0 ? "/never/" : "/chat/") + innocent, false);
+      for (String path : fleet.culprits.keySet()) {
+        if (fleet.chance(0.08)) {
+          fleet.send(path, false);
+        }
+      }
+      bringAbout(trouble, fleet);
+      fleet.run(STEP_MS);
+    }
+    return fleet;
+  }
+
+  private static void bringAbout(Trouble trouble, CrashingFleet fleet) {
+    boolean all = trouble == Trouble.EVERYTHING;
+    if ((all || trouble == Trouble.SERVERS_END) && fleet.chance(0.01)) {
+      fleet.endOne();
+    }
+    if ((all || trouble == Trouble.VMS_LOST) && fleet.chance(0.01)) {
+      fleet.loseOneVm();
+    }
+    if ((all || trouble == Trouble.ALL_VMS_LOST) && fleet.chance(0.002)) {
+      fleet.loseAllVms();
+    }
+    if ((all || trouble == Trouble.VMS_STAND_STILL) && fleet.chance(0.01)) {
+      fleet.standStill(500 + fleet.pick(5_000));
+    }
+  }
+}
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/FakeTransport.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/FakeTransport.java
@@ -26,6 +26,9 @@
   final List<String> forgotten = new ArrayList<>();
   final List<Consumer<Boolean>> probes = new ArrayList<>();
 
+  /** The address of each probe. */
+  final List<String> probed = new ArrayList<>();
+
   static final class Sent {
     final BackendCall call;
     final Listener listener;
@@ -61,6 +64,7 @@
   @Override
   public void probe(String address, Consumer<Boolean> refused) {
     probes.add(refused);
+    probed.add(address);
   }
 
   @Override
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/ServingWorld.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/ServingWorld.java
@@ -32,16 +32,26 @@
   static final PartStore.StoreInfo STORE =
       new PartStore.StoreInfo("parts", "10.0.0.9:80", "dc-1", 100_000, 100_000, 0);
 
-  final ManualLoop loop = new ManualLoop();
+  final ManualLoop loop;
   final FakeTransport transport = new FakeTransport();
-  final DecisionLog log = new BoundedDecisionLog(new StructuredDecisionLog(), loop);
-  final ServerBook book = new ServerBook(loop, log, 1_400, 2_500);
-  final PeerLoads peerLoads = new PeerLoads(loop, new Vm("10.0.1.1:70", "dc-1", 0));
-  final ServingState state = new ServingState(loop, book, peerLoads, log, 3);
-  final Serving serving =
-      new Serving(loop, state, transport, log, new ServingOptions("dc-1", 20, 8_000));
+  final DecisionLog log;
+  final ServerBook book;
+  final PeerLoads peerLoads;
+  final ServingState state;
+  final Serving serving;
 
   ServingWorld() {
+    this(new ManualLoop());
+  }
+
+  /** Creates a VM on a loop that it may share with others. */
+  ServingWorld(ManualLoop loop) {
+    this.loop = loop;
+    this.log = new BoundedDecisionLog(new StructuredDecisionLog(), loop);
+    this.book = new ServerBook(loop, log, 1_400, 2_500);
+    this.peerLoads = new PeerLoads(loop, new Vm("10.0.1.1:70", "dc-1", 0));
+    this.state = new ServingState(loop, book, peerLoads, log, 3);
+    this.serving = new Serving(loop, state, transport, log, new ServingOptions("dc-1", 20, 8_000));
     state.configure(config(1, "plain"), 1);
     state.weightsListed();
     book.replaceAll(
