Quarantine: what is an hour old is forgotten also if nobody asks for it

Cause, by reading: requests were forgotten only when they came again, so VMs went on telling each other of old ones. Measured: QuarantineTest#oldSuspectsAreNotRememberedForEver.

--- a/landingtrack/src/main/java/org/landingtrack/internal/quarantine/Quarantine.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/quarantine/Quarantine.java
@@ -134,6 +134,7 @@
     return suspect == null ? 0 : suspect.lastMs() + KEPT_MS - ticker.millis();
   }
 
+  /** Returns what is known of a request; forgets it if that is too old. */
   private @Nullable Suspect find(RequestDigest digest) {
     Suspect suspect = suspects.get(digest);
     if (suspect != null && ticker.millis() - suspect.lastMs() > KEPT_MS) {
@@ -240,6 +241,7 @@
       }
     }
     if (round % REMIND_EVERY_ROUNDS == 0) {
+      forgetOld();
       due.addAll(reminders());
     }
     List<Suspect> chosen = new ArrayList<>(due);
@@ -253,6 +255,10 @@
     told = news;
   }
 
+  private void forgetOld() {
+    List.copyOf(suspects.keySet()).forEach(this::find);
+  }
+
   /** Returns the quarantined requests, and some others that were not told for longest. */
   private List<Suspect> reminders() {
     List<Suspect> reminded = new ArrayList<>();
--- a/landingtrack/src/test/java/org/landingtrack/internal/quarantine/QuarantineTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/quarantine/QuarantineTest.java
@@ -188,6 +188,18 @@
     assertFalse(other.holds(CULPRIT), "what is heard is as old as it is");
   }
 
+  /** What nobody asks for is forgotten as well, and no VM is told of it any more. */
+  @Test
+  public void oldSuspectsAreNotRememberedForEver() {
+    quarantine.charge(digest(3), 1);
+    ticker.pass(Quarantine.KEPT_MS + 1);
+    for (int round = 0; round < 20; round++) {
+      quarantine.nextRound();
+    }
+    assertEquals(quarantine.news(), List.of());
+    assertFalse(quarantine.mayKnow(3));
+  }
+
   /** Room is bounded, and a flood of suspects does not push out what is quarantined. */
   @Test
   public void manySuspectsDoNotPushOutTheQuarantined() {
