RequestRun: what the caller has got of its answer is a class of its own

Measured: all tests of the serving part pass; the fault of a resumed stream's end is put in at its new text.

--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
@@ -37,7 +37,7 @@
 
   private final Serving serving;
   private final CallerRequest request;
-  private final CallerSink sink;
+  private final CallerAnswer answer;
   private final EventLoop loop;
   private final SendHistory history = new SendHistory();
 
@@ -49,18 +49,14 @@
   private final Answers answers = new Answers();
   private @Nullable SendPlanner planner;
   private @Nullable Attempt attempt;
-  private boolean streamStarted;
-  private long firstMs = -1;
-  private @Nullable String lastEventId;
   private @Nullable RequestDigest digest;
   private boolean done;
 
   RequestRun(Serving serving, CallerRequest request, CallerSink sink) {
     this.serving = serving;
     this.request = request;
-    this.sink = sink;
     this.loop = serving.loop();
-    this.lastEventId = request.resumeAfter();
+    this.answer = new CallerAnswer(request, sink, loop);
   }
 
   public CallerRequest request() {
@@ -168,7 +164,7 @@
     long leftMs = Math.max(1, endsAtMs - loop.millis());
     next.start(
         serving.transport(),
-        current.call(plan, moves, leftMs, lastEventId),
+        current.call(plan, moves, leftMs, answer.lastEventId()),
         current.mayBeginMs(plan));
   }
 
@@ -193,7 +189,7 @@
 
   private void refuseOverloaded(long waitMs, long leftMs) {
     String why = "an engine would begin it in " + waitMs + " ms, " + leftMs + " ms are left";
-    if (history.inDoubt() || streamStarted) {
+    if (history.inDoubt() || answer.hasBegunStream()) {
       failWithout(why);
       return;
     }
@@ -226,7 +222,7 @@
   private void endQuarantined() {
     String why = serverEnds() + " servers ended under this request, digest " + digest().hex();
     boolean mayNotBeRepeated = route != null && route.repeat() == Repeat.NEVER;
-    if (streamStarted || (history.inDoubt() && mayNotBeRepeated)) {
+    if (answer.hasBegunStream() || (history.inDoubt() && mayNotBeRepeated)) {
       failWithout(why);
       return;
     }
@@ -262,7 +258,7 @@
 
   /** Ends a request that no further send can help, by what is known of the sends so far. */
   private void failWithout(String why) {
-    if (streamStarted) {
+    if (answer.hasBegunStream()) {
       cut(why);
     } else if (history.inDoubt() && route != null && route.repeat() == Repeat.NEVER) {
       refuse(ErrorKind.OUTCOME_UNKNOWN, why, 0);
@@ -280,7 +276,7 @@
       cancel(current);
       history.mayHaveRun();
     }
-    if (streamStarted) {
+    if (answer.hasBegunStream()) {
       cut("the time for the request is over");
     } else if (history.inDoubt()) {
       refuse(ErrorKind.DEADLINE_IN_RUN, "the time for the request is over", 0);
@@ -315,7 +311,7 @@
     }
     boolean mayHaveRun = history.inDoubt() || attempt != null;
     stopAttempt();
-    if (streamStarted) {
+    if (answer.hasBegunStream()) {
       cut(why);
     } else if (mayHaveRun) {
       refuse(ErrorKind.OUTCOME_UNKNOWN, why, 0);
@@ -339,14 +335,14 @@
   private void refuse(ErrorKind kind, String why, long retryAfterMs) {
     finish();
     serving.log().refused(this, kind, why, retryAfterMs);
-    sink.refuse(kind, why, retryAfterMs);
+    answer.refuse(kind, why, retryAfterMs);
   }
 
   private void cut(String why) {
     String server = serverName();
     finish();
     serving.log().cut(this, server, why);
-    sink.abort();
+    answer.abort();
   }
 
   private void finish() {
@@ -397,36 +393,20 @@
 
     @Override
     public void streamStarts(AnswerHead head) {
-      if (!streamStarted) {
-        streamStarted = true;
-        sink.startStream(head.status(), head.headers());
-      }
+      answer.startStream(head);
     }
 
     @Override
     public void event(StreamEvent event) {
-      noteFirst();
-      if (!event.id().isEmpty()) {
-        if (!event.isAfter(lastEventId)) {
-          return;
-        }
-        lastEventId = event.id();
-      }
-      sink.event(event.bytes());
-    }
-
-    private void noteFirst() {
-      if (firstMs < 0) {
-        firstMs = ageMs();
-      }
+      answer.event(event);
     }
 
     @Override
-    public void ended(Attempt sent, AnswerHead answer, byte[] body) {
+    public void ended(Attempt sent, AnswerHead head, byte[] body) {
       attempt = null;
-      noteFirst();
-      if (answer.isServerError()) {
-        serving.log().tryFailed(RequestRun.this, sent.serverId(), "status " + answer.status(), "");
+      answer.noteFirst();
+      if (head.isServerError()) {
+        serving.log().tryFailed(RequestRun.this, sent.serverId(), "status " + head.status(), "");
         history.mayHaveRun();
         if (trySendAgain()) {
           return;
@@ -437,24 +417,15 @@
           serving.state().quarantine().endedWell(digest());
         }
       }
-      if (streamStarted && !answer.isStream()) {
-        cut("a resumed stream was answered with status " + answer.status());
+      if (answer.hasBegunStream() && !head.isStream()) {
+        cut("a resumed stream was answered with status " + head.status());
         return;
       }
       finish();
-      serving.log().answered(RequestRun.this, sent.serverId(), answer.status(), firstMs, ageMs());
-      pass(answer, body);
-    }
-
-    private void pass(AnswerHead answer, byte[] body) {
-      if (answer.isStream()) {
-        sink.endStream();
-      } else if (answer.promisesNotRun()) {
-        // The server ran it, so this status would be untrue from us.
-        sink.refuse(ErrorKind.FAILED_IN_RUN, "the server answered " + answer.status(), 0);
-      } else {
-        sink.answer(answer.status(), answer.headers(), body);
-      }
+      serving
+          .log()
+          .answered(RequestRun.this, sent.serverId(), head.status(), answer.firstMs(), ageMs());
+      answer.end(head, body);
     }
 
     @Override
@@ -478,13 +449,14 @@
     }
 
     private void goOnInDoubt(String why) {
-      boolean mayGoOn = !streamStarted || (route != null && route.repeat() == Repeat.RESUME);
+      boolean mayGoOn =
+          !answer.hasBegunStream() || (route != null && route.repeat() == Repeat.RESUME);
       // Whether the server ended is known a moment later, and then it may be the last one allowed.
       mayGoOn &= serverEnds() < Quarantine.MAX_ENDS - 1;
       if (mayGoOn && trySendAgain()) {
         return;
       }
-      if (streamStarted) {
+      if (answer.hasBegunStream()) {
         cut(why);
       } else {
         refuse(ErrorKind.OUTCOME_UNKNOWN, why, 0);
