Tests that capture lines wait for the thread that writes them

The flush of a process waits a second for its reader; the test before has a reader that stopped, and the thread that writes went on into the next test's capture. Change: CapturedLines ends with the thread that writes; the test's message shows the lines; LogsTest#whatASlowReaderLeftIsNotCapturedByTheNext. No line of a process is concerned: there the process ends after the flush.

--- a/landingtrack/src/test/java/org/landingtrack/internal/base/CapturedLines.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/base/CapturedLines.java
@@ -27,6 +27,11 @@
 
 /** Takes standard output's place for the lines of a process, until it is closed. */
 public final class CapturedLines implements AutoCloseable {
+  /** How Logback names the threads that write what waits in its rings. */
+  private static final String WRITER = "AsyncAppender-Worker";
+
+  private static final long LONGEST_MS = 20_000;
+
   private final PrintStream before = System.out;
   private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
 
@@ -47,9 +52,14 @@
     return bytes.toString(StandardCharsets.UTF_8).lines().toList();
   }
 
+  /**
+   * Waits for the thread that writes as well: the flush of a process waits a second for it, and
+   * what it writes later would be captured by whoever captures then.
+   */
   @Override
   public void close() {
     Logs.flush();
+    awaitWriters();
     System.setOut(before);
     LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
     context.reset();
@@ -59,4 +69,16 @@
       throw new IllegalStateException("the tests' own logging cannot be set up again", e);
     }
   }
+
+  private static void awaitWriters() {
+    for (Thread thread : Thread.getAllStackTraces().keySet()) {
+      if (thread.getName().startsWith(WRITER)) {
+        try {
+          thread.join(LONGEST_MS);
+        } catch (InterruptedException e) {
+          Thread.currentThread().interrupt();
+        }
+      }
+    }
+  }
 }
--- a/landingtrack/src/test/java/org/landingtrack/internal/base/LogsTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/base/LogsTest.java
@@ -34,6 +34,11 @@
 public final class LogsTest {
   private static final long LONGEST_S = 20;
   private static final int MANY_LINES = 10_000;
+
+  /** Together they take the reader longer than the flush waits. */
+  private static final int SLOW_LINES = 300;
+
+  private static final long PAUSE_MS = 10;
   private static final Logger log = LoggerFactory.getLogger("part");
 
   @DataProvider
@@ -59,7 +64,7 @@
       log.atInfo().addKeyValue("key", value).log("said {}", value);
       log.atError().setCause(new IllegalStateException("a\nb")).log("failed");
       List<String> lines = captured.lines();
-      assertEquals(lines.size(), 2);
+      assertEquals(lines.size(), 2, String.join("\n", lines));
       JsonNode first = new ObjectMapper().readTree(lines.get(0));
       assertTrue(first.path("event").asText().startsWith("said"), lines.get(0));
       assertEquals(first.path("part").asText(), "part");
@@ -103,6 +108,45 @@
     }
   }
 
+  /**
+   * On a busy machine a test found 185 lines that a slow reader of the test before had left: the
+   * flush ends after a second, and the thread that writes goes on.
+   */
+  @Test
+  public void whatASlowReaderLeftIsNotCapturedByTheNext() throws Exception {
+    OutputStream slow =
+        new OutputStream() {
+          @Override
+          public void write(int b) {
+            if (b == '\n') {
+              pauseQuietly();
+            }
+          }
+        };
+    try (CapturedLines unused = new CapturedLines(slow)) {
+      for (int i = 0; i < SLOW_LINES; i++) {
+        log.info("line {}", i);
+      }
+    }
+    try (CapturedLines captured = new CapturedLines()) {
+      log.info("mine");
+      TimeUnit.MILLISECONDS.sleep(10 * PAUSE_MS);
+      assertEquals(captured.lines().size(), 1);
+    }
+  }
+
+  private static void pauseQuietly() {
+    try {
+      TimeUnit.MILLISECONDS.sleep(PAUSE_MS);
+    } catch (InterruptedException e) {
+      // The flush wakes the writer; what is left is written all the same, and slowly.
+      long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PAUSE_MS);
+      while (System.nanoTime() < endNs) {
+        Thread.onSpinWait();
+      }
+    }
+  }
+
   private static void awaitQuietly(CountDownLatch latch) {
     try {
       latch.await();
