Failing tests: evacuated data centres, cold servers, homes, a store back from a copy

Cause: the code does not know these rules; the evacuations of a data centre, the rates of cold servers and the regions of routes and teams are read nowhere, and a watch goes on from a revision that the store gave out a second time. Seen: nine failures over sockets with three VMs (63 requests in a second where 8 are allowed; a configuration that never comes into force). Settings know the bounds and the regions; nothing uses them yet.

--- a/landingtrack/src/main/java/org/landingtrack/internal/settings/EntrySettings.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/settings/EntrySettings.java
@@ -17,7 +17,9 @@
 
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /**
  * Settings of an entry process: the one process of an entry VM where the platform's store holds the
@@ -40,6 +42,11 @@
  * @param leaseMs how long the orders of two holders to one engine must be apart
  * @param weightsMs within which no request may begin on older weights than named
  * @param fencesChecked true if engines refuse orders with an old fencing token
+ * @param evacuationMs within which an evacuated data centre must get no more requests; 0 where
+ *     operators evacuate none
+ * @param coldOvershoot a cold server bears so many times its rate in a single second
+ * @param coldTolerance and so many requests more
+ * @param regions the region of each data centre
  */
 public record EntrySettings(
     String vm,
@@ -61,13 +68,20 @@
     double retryExtra,
     long leaseMs,
     long weightsMs,
-    boolean fencesChecked) {
+    boolean fencesChecked,
+    long evacuationMs,
+    double coldOvershoot,
+    double coldTolerance,
+    Map<String, String> regions) {
 
   private static final int HUNDREDTHS = 100;
   private static final long MAX_CORES = 1_024;
   private static final long MAX_RATE = 1_000_000;
   private static final long MAX_MS = 3_600_000;
   private static final long MS_PER_SECOND = 1_000;
+  private static final long MAX_OVERSHOOT = 100;
+  private static final char IN = '=';
+  private static final String REGION = CommonKeys.NAME + IN + CommonKeys.NAME;
   private static final List<SettingKey> KEYS = keys();
 
   private static List<SettingKey> keys() {
@@ -93,6 +107,10 @@
     keys.add(SettingKey.decimal("orders.leaseMs", 100, MAX_MS));
     keys.add(SettingKey.flag("orders.fencesChecked"));
     keys.add(SettingKey.decimal("weights.withinMs", 100, MAX_MS));
+    keys.add(SettingKey.decimalOr("evacuations.withinMs", 0, 0, MAX_MS));
+    keys.add(SettingKey.decimalOr("coldServers.overshoot", 1, 1, MAX_OVERSHOOT));
+    keys.add(SettingKey.decimalOr("coldServers.tolerance", 0, 0, MAX_RATE));
+    keys.add(SettingKey.texts("regions", List.of(), REGION, "DATA-CENTRE=REGION"));
     return List.copyOf(keys);
   }
 
@@ -118,7 +136,11 @@
         retryExtra,
         leaseMs,
         weightsMs,
-        fencesChecked);
+        fencesChecked,
+        evacuationMs,
+        coldOvershoot,
+        coldTolerance,
+        regions);
   }
 
   /** Reads a file; throws {@link SettingsException} on the first fault. */
@@ -144,6 +166,19 @@
         v.decimal("retries.extra"),
         v.millis("orders.leaseMs"),
         v.millis("weights.withinMs"),
-        v.flag("orders.fencesChecked"));
+        v.flag("orders.fencesChecked"),
+        v.millis("evacuations.withinMs"),
+        v.decimal("coldServers.overshoot"),
+        v.decimal("coldServers.tolerance"),
+        regions(v.texts("regions")));
+  }
+
+  private static Map<String, String> regions(List<String> texts) {
+    Map<String, String> regions = new HashMap<>();
+    for (String text : texts) {
+      int at = text.indexOf(IN);
+      regions.put(text.substring(0, at), text.substring(at + 1));
+    }
+    return Map.copyOf(regions);
   }
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/settings/SettingKey.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/settings/SettingKey.java
@@ -64,6 +64,12 @@
         path, Type.DECIMAL, null, min, max, null, "a number from " + min + " to " + max);
   }
 
+  /** A number that may be left out. */
+  static SettingKey decimalOr(String path, double fallback, long min, long max) {
+    return new SettingKey(
+        path, Type.DECIMAL, fallback, min, max, null, "a number from " + min + " to " + max);
+  }
+
   static SettingKey flag(String path) {
     return new SettingKey(path, Type.FLAG, null, 0, 0, null, "true or false");
   }
