Evacuated data centres, cold servers and homes: one list of who may have a request

Change: Eligibility asks, in turn, whether a server was tried, is evacuated, is in a home region, or is cold and this VM's share used up; what runs goes on. Evacuations are followed like the other kinds, through hubs too, and a VM serves nothing before it has read them. Cold servers: each VM draws its slots of 200 ms by a hash, so that all VMs together stay within the bound of a second without a word between them; weighed were no use of cold servers and a bucket each (full ones are emptied together). A request that only a cold server may have waits for it, or is refused at once if that is too late. When an evacuation is taken back the servers count as cold. Kept parts stay in home regions.

--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/Fleet.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/Fleet.java
@@ -141,6 +141,11 @@
     groups = isMesh() ? List.of() : findGroups(nowMs);
   }
 
+  /** Returns how many VMs are known, this one among them. */
+  int size() {
+    return known.size();
+  }
+
   boolean isMesh() {
     return known.size() <= MESH_VMS;
   }
--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/PeerLoads.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/PeerLoads.java
@@ -62,6 +62,12 @@
   /** So long after a VM started, those it tells name others in each round, until it knows all. */
   private static final long NEWCOMER_MS = 5_000;
 
+  /**
+   * Counted by a VM that does not know the others yet: more than any fleet that is planned for, so
+   * that its share of what is divided is too small rather than too large.
+   */
+  static final int UNKNOWN_VMS = 1_000;
+
   /** A process counts up by one a round and starts at the time of day: this is another process. */
   private static final long SEQUENCE_OF_ANOTHER_START = 100;
 
@@ -78,6 +84,9 @@
   private long newcomerAtMs;
   private long round;
   private boolean isHub;
+  private final long createdAtMs;
+  private int mostVms = 1;
+  private boolean heardAnyone;
 
   private static final class Peer {
     private final Vm vm;
@@ -100,6 +109,7 @@
     this.self = self;
     this.fleet = new Fleet(self);
     this.newcomerAtMs = ticker.millis();
+    this.createdAtMs = ticker.millis();
   }
 
   Vm self() {
@@ -136,6 +146,7 @@
     }
     peer.sequence = news.sequence();
     peer.heardAtMs = now;
+    heardAnyone = true;
     peer.kind = news.kind();
     peer.loads = news.loads();
     fleet.heard(news.sender(), now);
@@ -154,6 +165,7 @@
     round++;
     peers.values().removeIf(peer -> now - peer.heardAtMs > QUIET_MS * FRESH_ROUNDS);
     fleet.refresh(now);
+    mostVms = Math.max(mostVms, fleet.size());
     Map<String, Kind> mails = fleet.isMesh() ? meshMails(now) : hubMails(now);
     outdated = true;
     nameSome(now);
@@ -222,6 +234,16 @@
     return mails;
   }
 
+  /**
+   * Returns how many VMs there are at most, this one among them: the most that were known at once,
+   * since VMs that are cut off are still there, and very many while the others are not known.
+   */
+  public int vmsAtMost() {
+    boolean isNew = ticker.millis() - createdAtMs < NEWCOMER_MS;
+    boolean isAlone = mostVms > 1 && !heardAnyone;
+    return isNew || isAlone ? Math.max(mostVms, UNKNOWN_VMS) : mostVms;
+  }
+
   /** Returns true while the VMs are few enough to tell each other all. */
   public boolean isMesh() {
     return fleet.isMesh();
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/Backend.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/Backend.java
@@ -50,6 +50,9 @@
   private long refusedUntilMs;
   private boolean replaced;
   private boolean ended;
+  private long coldUntilMs = Long.MIN_VALUE;
+  private long coldSlot = Long.MIN_VALUE;
+  private int coldSends;
   private final KeptParts kept = new KeptParts();
   private final EngineTiming timing;
   private final LinkBacklog backlog = new LinkBacklog();
@@ -137,6 +140,27 @@
     return nowMs < ejectedUntilMs;
   }
 
+  /** Notes that the server is cold until a time; what was known of it to be cold longer holds. */
+  void coldUntil(long untilMs) {
+    coldUntilMs = Math.max(coldUntilMs, untilMs);
+  }
+
+  /** Returns how much longer the server is cold; 0 or less if it is not. */
+  long coldForMs(long nowMs) {
+    return coldUntilMs == Long.MIN_VALUE ? 0 : coldUntilMs - nowMs;
+  }
+
+  /** Returns how many requests this VM sent the server in a slot of time while it was cold. */
+  int coldSendsIn(long slot) {
+    return coldSlot == slot ? coldSends : 0;
+  }
+
+  /** Notes a request that is sent in a slot while the server is cold. */
+  void coldSend(long slot) {
+    coldSends = coldSendsIn(slot) + 1;
+    coldSlot = slot;
+  }
+
   boolean refusedLately(long nowMs) {
     return nowMs < refusedUntilMs;
   }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/BoundedDecisionLog.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/BoundedDecisionLog.java
@@ -150,6 +150,11 @@
     lines.config(version, revision);
   }
 
+  @Override
+  public void evacuation(String dataCentre, boolean begins, long stoodMs) {
+    lines.evacuation(dataCentre, begins, stoodMs);
+  }
+
   @Override
   public void weights(String model, long version, long revision, Heard heard, long agoMs) {
     lines.weights(model, version, revision, heard, agoMs);
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/DecisionLog.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/DecisionLog.java
@@ -93,6 +93,13 @@
   /** A configuration came into force. */
   void config(long version, long revision);
 
+  /**
+   * The evacuation of a data centre began or was taken back.
+   *
+   * @param stoodMs for how long this VM knew of it, when it is taken back
+   */
+  void evacuation(String dataCentre, boolean begins, long stoodMs);
+
   /**
    * Weights of a model were named.
    *
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/Eligibility.java
@@ -0,0 +1,69 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.serving;
+
+import java.util.Map;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Who may have a request: the rules that bind whatever a choice would cost, one after the other.
+ * What a server's own state says, that it leaves or was ejected, is in {@link ServerBook}; which
+ * weights it must have, in {@link SendPlanner}.
+ */
+final class Eligibility {
+  private final Evacuations evacuations;
+  private final ColdServers cold;
+  private final Map<String, String> regions;
+
+  /**
+   * What binds one request.
+   *
+   * @param tried servers that had it already
+   */
+  record Terms(Set<String> tried, Homes homes, ServiceInfo service) {}
+
+  /**
+   * Creates the rules.
+   *
+   * @param regions the region of each data centre
+   */
+  Eligibility(Evacuations evacuations, ColdServers cold, Map<String, String> regions) {
+    this.evacuations = evacuations;
+    this.cold = cold;
+    this.regions = Map.copyOf(regions);
+  }
+
+  /** Returns why a server may not have a request now, or null if it may. */
+  @Nullable Bar bar(Backend backend, Terms terms) {
+    ServerEntry entry = backend.entry();
+    if (terms.tried().contains(entry.id())) {
+      return Bar.TRIED;
+    }
+    if (evacuations.holds(entry.dataCentre())) {
+      return Bar.EVACUATED;
+    }
+    if (!isHome(entry.dataCentre(), terms.homes())) {
+      return Bar.NOT_HOME;
+    }
+    return cold.mayTake(backend, terms.service()) ? null : Bar.COLD;
+  }
+
+  /** Returns true if a request may run, or its kept state lie, in a data centre. */
+  boolean isHome(String dataCentre, Homes homes) {
+    return homes.allow(regions.get(dataCentre));
+  }
+}
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/EngineAdmission.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/EngineAdmission.java
@@ -85,6 +85,11 @@
     return Math.min(expectedWaitMs, leftMs / RETRY_LEFT_PARTS) + spreadMs;
   }
 
+  /** Returns true if an answer can come in the time that is left, after a wait. */
+  static boolean isInTime(long waitMs, long leftMs) {
+    return waitMs < leftMs - LEAST_ANSWER_MS;
+  }
+
   /** Returns true if an answer can no longer come within a route's target. */
   static boolean isLate(long ageMs, long targetMs) {
     return ageMs + LEAST_ANSWER_MS > targetMs;
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/MeteredDecisionLog.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/MeteredDecisionLog.java
@@ -128,6 +128,12 @@
     log.config(version, revision);
   }
 
+  @Override
+  public void evacuation(String dataCentre, boolean begins, long stoodMs) {
+    serverChanges.labelValues(begins ? "evacuation begins" : "evacuation ends").inc();
+    log.evacuation(dataCentre, begins, stoodMs);
+  }
+
   @Override
   public void weights(String model, long version, long revision, Heard heard, long agoMs) {
     log.weights(model, version, revision, heard, agoMs);
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/PartSources.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/PartSources.java
@@ -17,6 +17,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 import org.landingtrack.internal.loads.PeerLoads;
 import org.landingtrack.internal.serving.ServiceInfo.EngineInfo;
@@ -39,6 +40,7 @@
   private final Prompt prompt;
   private final EngineInfo info;
   private final PartStores stores;
+  private final Predicate<PartStore> allowed;
   private final PeerLoads peerLoads;
   private final long now;
   private final List<List<PartStore>> byPart = new ArrayList<>();
@@ -53,24 +55,32 @@
    */
   record Fetch(List<@Nullable PartStore> sources, int tokens, double ms, double linkMs) {}
 
-  /** Looks up which stores keep the shared parts of a prompt. */
+  /**
+   * Looks up which stores keep the shared parts of a prompt.
+   *
+   * @param allowed the stores where its kept state may lie
+   */
   PartSources(
       String scope,
       Prompt prompt,
       EngineInfo info,
       PartStores stores,
+      Predicate<PartStore> allowed,
       PeerLoads peerLoads,
       long now) {
     this.scope = scope;
     this.prompt = prompt;
     this.info = info;
     this.stores = stores;
+    this.allowed = allowed;
     this.peerLoads = peerLoads;
     this.now = now;
     int shared = prompt.parts().size() - 1;
     for (int i = 0; i < shared; i++) {
       Prompt.Part part = prompt.parts().get(i);
-      byPart.add(stores.holding(scope, part, now));
+      List<PartStore> holding = stores.holding(scope, part, now);
+      holding.removeIf(allowed.negate());
+      byPart.add(holding);
     }
   }
 
@@ -152,7 +162,7 @@
   PartMoves moves(Object request, Backend target, Fetch fetch, int keptTokens) {
     return new PartMoves(
         order(request, target, fetch, keptTokens),
-        stores.save(scope, prompt, info, target),
+        stores.save(scope, prompt, info, target, allowed),
         untilMs(fetch));
   }
 
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/PartStores.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/PartStores.java
@@ -21,6 +21,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 import org.landingtrack.internal.base.Hashes;
 import org.landingtrack.internal.loads.LoadNews.Load;
@@ -145,8 +146,10 @@
    * Returns where the shared parts of a prompt are saved that no store has, and notes that.
    *
    * @param engine the engine that will have them
+   * @param allowed the stores where they may lie
    */
-  List<String> save(String scope, Prompt prompt, EngineInfo info, Backend engine) {
+  List<String> save(
+      String scope, Prompt prompt, EngineInfo info, Backend engine, Predicate<PartStore> allowed) {
     long now = loop.millis();
     List<String> save = new ArrayList<>();
     int shared = prompt.parts().size() - 1;
@@ -154,7 +157,7 @@
       Prompt.Part part = prompt.parts().get(i);
       boolean isKept = i >= shared || !holding(scope, part, now).isEmpty();
       PartStore target =
-          isKept ? null : target(scope, prompt, i, info, engine.entry().dataCentre(), now);
+          isKept ? null : target(scope, prompt, i, info, engine.entry().dataCentre(), allowed, now);
       save.add(target == null ? "" : target.info().address());
       if (target != null) {
         target.saving(key(scope, part), now);
@@ -196,17 +199,24 @@
    * to the largest, or they would fill the fast ones. Where there is no room, any other will do.
    */
   private @Nullable PartStore target(
-      String scope, Prompt prompt, int index, EngineInfo info, String dataCentre, long now) {
+      String scope,
+      Prompt prompt,
+      int index,
+      EngineInfo info,
+      String dataCentre,
+      Predicate<PartStore> allowed,
+      long now) {
     Prompt.Part part = prompt.parts().get(index);
     String key = key(scope, part);
     if (part.tokens() < MIN_TOKENS || isSavedAnywhere(key, now)) {
       return null;
     }
     boolean isLong = index > 0 && part.tokens() > LONG_TOKENS;
-    PartStore preferred = soonest(isLong ? largest : fastest, key, part, info, dataCentre, now);
+    List<PartStore> best = isLong ? largest : fastest;
+    PartStore preferred = soonest(best, key, part, info, dataCentre, allowed, now);
     return preferred != null
         ? preferred
-        : soonest(byAddress.values(), key, part, info, dataCentre, now);
+        : soonest(byAddress.values(), key, part, info, dataCentre, allowed, now);
   }
 
   /** Also a store that is not believed at the moment has the part, or will. */
@@ -225,6 +235,7 @@
       Prompt.Part part,
       EngineInfo info,
       String dataCentre,
+      Predicate<PartStore> allowed,
       long now) {
     long hash = Hashes.placement(part.key());
     PartStore best = null;
@@ -234,7 +245,7 @@
           backlogMs(store) + store.saves().ms(now) + store.linkMs(part.tokens(), info, dataCentre);
       boolean better =
           ms < bestMs || (ms == bestMs && best != null && isPreferred(hash, store, best));
-      if (better && store.canSave(key, part.tokens(), now)) {
+      if (better && allowed.test(store) && store.canSave(key, part.tokens(), now)) {
         bestMs = ms;
         best = store;
       }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
@@ -149,12 +149,13 @@
     }
     SendPlan plan = current.plan(history.tried());
     if (plan == null) {
-      failWithout("no usable server of " + service);
+      awaitColdServer(current, admitted);
       return;
     }
     if (!isAdmitted(plan, admitted)) {
       return;
     }
+    current.begins(plan);
     Backend backend = plan.backend();
     PartMoves moves = current.moves(plan);
     int sends = history.begin(backend.entry().id());
@@ -168,6 +169,19 @@
         current.mayBeginMs(plan));
   }
 
+  /**
+   * Lets a request without a server wait until a cold one may have it, if there is one that may in
+   * time; otherwise ends the request.
+   */
+  private void awaitColdServer(SendPlanner current, Route admitted) {
+    long waitMs = current.coldWaitMs(serving.waiting().size());
+    if (EngineAdmission.isInTime(waitMs, endsAtMs - loop.millis())) {
+      serving.waiting().add(this, admitted.priority());
+      return;
+    }
+    failWithout(current.whyNone());
+  }
+
   /** Returns true if a request may be sent; otherwise it waits now, or was refused. */
   private boolean isAdmitted(SendPlan plan, Route admitted) {
     if (plan.cacheTokens() == 0) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/Route.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/Route.java
@@ -26,6 +26,7 @@
  * @param targetLatencyMs within which an answer (the first event of a stream) is in time
  * @param maxAttempts backend servers that one request may be sent to
  * @param eventGapMs the longest pause between two events that keeps a stream in time
+ * @param homes where its requests may run
  */
 public record Route(
     String name,
@@ -39,11 +40,42 @@
     long targetLatencyMs,
     int maxAttempts,
     boolean open,
-    long eventGapMs) {
+    long eventGapMs,
+    Homes homes) {
   public Route {
     targets = List.copyOf(targets);
   }
 
+  /** Creates a route whose requests may run anywhere. */
+  public Route(
+      String name,
+      String host,
+      String pathPrefix,
+      Repeat repeat,
+      boolean streaming,
+      List<Target> targets,
+      int priority,
+      long timeoutMs,
+      long targetLatencyMs,
+      int maxAttempts,
+      boolean open,
+      long eventGapMs) {
+    this(
+        name,
+        host,
+        pathPrefix,
+        repeat,
+        streaming,
+        targets,
+        priority,
+        timeoutMs,
+        targetLatencyMs,
+        maxAttempts,
+        open,
+        eventGapMs,
+        Homes.ANYWHERE);
+  }
+
   /** A service with its share of the route's requests. */
   public record Target(String service, int weight) {}
 
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/SendPlanner.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/SendPlanner.java
@@ -16,6 +16,7 @@
 package org.landingtrack.internal.serving;
 
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -49,6 +50,12 @@
   private final ServingState state;
   private final ServingOptions options;
   private final EventLoop loop;
+  private final Eligibility eligibility;
+  private final ColdServers cold;
+  private final Homes homes;
+
+  /** The servers that were passed over in the last plan, by why. */
+  private final Map<Bar, List<Backend>> barred = new EnumMap<>(Bar.class);
 
   /**
    * Where a send goes.
@@ -92,6 +99,9 @@
     this.state = serving.state();
     this.options = serving.options();
     this.loop = serving.loop();
+    this.eligibility = serving.eligibility();
+    this.cold = serving.cold();
+    this.homes = team == null ? route.homes() : route.homes().and(team.homes());
   }
 
   /** Returns the plan of the next send, or null if no server may have the request. */
@@ -101,7 +111,9 @@
     if (info == null) {
       return null;
     }
-    List<Backend> usable = state.servers().usable(service, tried);
+    barred.clear();
+    Eligibility.Terms terms = new Eligibility.Terms(tried, homes, info);
+    List<Backend> usable = state.servers().usable(service, backend -> isEligible(backend, terms));
     List<Backend> recent = recentEnough(usable, oldestWeights());
     boolean gamble = recent.isEmpty() && !usable.isEmpty();
     Map<String, PartSources> sources = new HashMap<>();
@@ -117,6 +129,42 @@
         choice, info, usable.size(), priority(info), weights, scope, sources.get(scope));
   }
 
+  private boolean isEligible(Backend backend, Eligibility.Terms terms) {
+    Bar bar = eligibility.bar(backend, terms);
+    if (bar != null) {
+      barred.computeIfAbsent(bar, name -> new ArrayList<>()).add(backend);
+    }
+    return bar == null;
+  }
+
+  /**
+   * Returns why there was no server in the last plan, with the number of servers for each cause.
+   */
+  String whyNone() {
+    StringBuilder why = new StringBuilder("no usable server of " + service);
+    barred.forEach(
+        (bar, servers) -> why.append(", ").append(servers.size()).append(' ').append(bar.text()));
+    return why.toString();
+  }
+
+  /**
+   * Returns how long a request that has no server is expected to wait for a cold one; the largest
+   * number if there is none that it could wait for.
+   *
+   * @param before requests of this VM that wait as well
+   */
+  long coldWaitMs(int before) {
+    ServingConfig config = state.config();
+    ServiceInfo info = config == null ? null : config.service(service);
+    List<Backend> servers = barred.get(Bar.COLD);
+    return info == null || servers == null ? Long.MAX_VALUE : cold.waitMs(servers, info, before);
+  }
+
+  /** Notes that a planned send now begins. */
+  void begins(SendPlan plan) {
+    cold.sent(plan.backend(), plan.info());
+  }
+
   private PartSources sources(Map<String, PartSources> known, String scope, ServiceInfo info) {
     return known.computeIfAbsent(
         scope,
@@ -126,6 +174,7 @@
                 Objects.requireNonNull(request.prompt()),
                 Objects.requireNonNull(info.engine()),
                 state.parts(),
+                store -> eligibility.isHome(store.info().dataCentre(), homes),
                 state.peerLoads(),
                 loop.millis()));
   }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerBook.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerBook.java
@@ -23,6 +23,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
 import org.jspecify.annotations.Nullable;
 import org.landingtrack.internal.loads.LoadNews.Load;
 
@@ -48,6 +50,7 @@
   private final Map<String, Map<String, Backend>> byService = new HashMap<>();
   private Consumer<Backend> startEnded = ended -> {};
   private Consumer<Backend> goneUnannounced = gone -> {};
+  private ToLongFunction<String> coldStartMs = service -> 0;
   private boolean known;
   private long listedAtMs;
   private long storeBackAtMs;
@@ -79,6 +82,44 @@
     goneUnannounced = listener;
   }
 
+  /** Says how long the servers of a service stay cold after a start. */
+  void coldAfterStart(ToLongFunction<String> ms) {
+    coldStartMs = ms;
+  }
+
+  /** Notes that all servers of a data centre may have turned cold just now. */
+  void turnedCold(String dataCentre) {
+    for (Backend backend : backends.values()) {
+      if (backend.entry().dataCentre().equals(dataCentre)) {
+        mayBeCold(backend);
+      }
+    }
+  }
+
+  private void mayBeCold(Backend backend) {
+    long startMs = coldStartMs.applyAsLong(backend.entry().service());
+    if (startMs > 0) {
+      backend.coldUntil(loop.millis() + startMs);
+    }
+  }
+
+  /** What a server says of itself holds from now on: it is older, so it errs on the cold side. */
+  private void noteCold(Backend backend) {
+    if (backend.entry().coldMs() > 0) {
+      backend.coldUntil(loop.millis() + backend.entry().coldMs());
+    }
+  }
+
+  /** Returns how many servers are cold. */
+  public int coldCount() {
+    int count = 0;
+    for (Backend backend : backends.values()) {
+      boolean isCold = !backend.isRemoved() && backend.coldForMs(loop.millis()) > 0;
+      count += isCold ? 1 : 0;
+    }
+    return count;
+  }
+
   /** Returns true once the list of servers was read. */
   public boolean known() {
     return known;
@@ -124,7 +165,9 @@
   public void put(ServerEntry entry, long revision, long sinceMs) {
     Backend backend = backends.get(entry.id());
     if (backend == null) {
-      keep(new Backend(entry, sinceMs));
+      Backend joined = new Backend(entry, sinceMs);
+      keep(joined);
+      noteCold(joined);
       log.server("joined", entry, revision);
       return;
     }
@@ -133,7 +176,9 @@
       return;
     }
     if (entry.isLaterStartThan(before)) {
-      replace(backend, backend.startedAgain(entry, sinceMs));
+      Backend next = backend.startedAgain(entry, sinceMs);
+      replace(backend, next);
+      noteCold(next);
       log.server("started again", entry, revision);
       return;
     }
@@ -142,6 +187,7 @@
       backend.forgetParts();
     }
     backend.update(entry, sinceMs);
+    noteCold(backend);
     if (!before.service().equals(entry.service())) {
       drop(before);
       keep(backend);
@@ -164,7 +210,9 @@
     }
     ServerEntry next = backend.entry().startedAt(startedMs);
     if (next.isLaterStartThan(backend.entry())) {
-      replace(backend, backend.startedAgain(next, loop.millis()));
+      Backend started = backend.startedAgain(next, loop.millis());
+      replace(backend, started);
+      mayBeCold(started);
       log.server("started again", next, 0);
     }
   }
@@ -252,23 +300,26 @@
     return backends.get(id);
   }
 
-  /** Returns the servers of a service that may get a request now, the sound ones if there are. */
-  List<Backend> usable(String service, Set<String> excluded) {
+  /**
+   * Returns the servers of a service that may get a request now, the sound ones if there are.
+   *
+   * @param eligible what else binds the request
+   */
+  List<Backend> usable(String service, Predicate<Backend> eligible) {
     long now = loop.millis();
     List<Backend> sound = new ArrayList<>();
     List<Backend> doubtful = new ArrayList<>();
     for (Backend backend : byService.getOrDefault(service, Map.of()).values()) {
-      if (excluded.contains(backend.entry().id())) {
-        continue;
-      }
       if (backend.isReplaced()) {
         continue;
       }
       long leavingFor = backend.leavingForMs(now);
-      if (leavingFor >= 0 && !mayHaveLapsed(backend, now)) {
-        if (leavingFor < lastResortMs) {
-          doubtful.add(backend);
-        }
+      boolean leaves = leavingFor >= 0 && !mayHaveLapsed(backend, now);
+      if ((leaves && leavingFor >= lastResortMs) || !eligible.test(backend)) {
+        continue;
+      }
+      if (leaves) {
+        doubtful.add(backend);
         continue;
       }
       if (backend.isEjected(now)) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServiceInfo.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServiceInfo.java
@@ -22,9 +22,23 @@
  *
  * @param connectionLimit connections that one of its servers takes from all callers together
  * @param engine set if its servers are model engines
+ * @param coldPerSecond requests a second that one of its servers bears while it is cold; 0 if they
+ *     are never cold
+ * @param coldStartMs how long a server stays cold after a start
  */
 public record ServiceInfo(
-    String name, String healthPath, int connectionLimit, @Nullable EngineInfo engine) {
+    String name,
+    String healthPath,
+    int connectionLimit,
+    @Nullable EngineInfo engine,
+    double coldPerSecond,
+    long coldStartMs) {
+
+  /** Creates a service whose servers are never cold. */
+  public ServiceInfo(
+      String name, String healthPath, int connectionLimit, @Nullable EngineInfo engine) {
+    this(name, healthPath, connectionLimit, engine, 0, 0);
+  }
 
   /**
    * What all engines of a service have.
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/Serving.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/Serving.java
@@ -32,6 +32,8 @@
   private final Set<RequestRun> running = new HashSet<>();
   private final WaitingRuns waiting;
   private final ServerEnds ends;
+  private final ColdServers cold;
+  private final Eligibility eligibility;
 
   public Serving(
       EventLoop loop,
@@ -45,6 +47,14 @@
     this.log = log;
     this.options = options;
     this.waiting = new WaitingRuns(loop);
+    this.cold =
+        new ColdServers(
+            loop,
+            state.peerLoads()::vmsAtMost,
+            options.coldOvershoot(),
+            options.coldTolerance(),
+            options.salt());
+    this.eligibility = new Eligibility(state.evacuations(), cold, options.regions());
     this.ends = new ServerEnds(state.quarantine(), loop, transport);
     state.servers().onStartEnded(this::startEnded);
     state.servers().onGoneUnannounced(ends::ended);
@@ -99,6 +109,19 @@
     }
   }
 
+  /** Returns how often a server was passed over because it is cold. */
+  public long passedOverCold() {
+    return cold.passedOver();
+  }
+
+  ColdServers cold() {
+    return cold;
+  }
+
+  Eligibility eligibility() {
+    return eligibility;
+  }
+
   ServerEnds ends() {
     return ends;
   }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServingOptions.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServingOptions.java
@@ -15,11 +15,33 @@
  */
 package org.landingtrack.internal.serving;
 
+import java.util.Map;
+
 /**
  * How requests are served on this VM.
  *
  * @param dataCentre where this VM is
  * @param retryPercent retries that a service may get for each hundred requests
  * @param oldWeightsMs for so long after new weights were named, servers with older ones may be used
+ * @param regions the region of each data centre
+ * @param coldOvershoot a cold server bears so many times its rate in a single second
+ * @param coldTolerance and so many requests more
+ * @param salt differs from VM to VM and from start to start
  */
-public record ServingOptions(String dataCentre, double retryPercent, long oldWeightsMs) {}
+public record ServingOptions(
+    String dataCentre,
+    double retryPercent,
+    long oldWeightsMs,
+    Map<String, String> regions,
+    double coldOvershoot,
+    double coldTolerance,
+    long salt) {
+  public ServingOptions {
+    regions = Map.copyOf(regions);
+  }
+
+  /** Creates options without regions, and with no more than their rate for cold servers. */
+  public ServingOptions(String dataCentre, double retryPercent, long oldWeightsMs) {
+    this(dataCentre, retryPercent, oldWeightsMs, Map.of(), 1, 0, 0);
+  }
+}
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServingState.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServingState.java
@@ -45,6 +45,7 @@
   private final PartStores parts;
   private final PeerLoads peerLoads;
   private final Quarantine quarantine;
+  private final Evacuations evacuations;
   private final DecisionLog log;
   private final Map<String, List<NamedWeights>> weights = new HashMap<>();
   private final Map<String, RetryBudget> retries = new HashMap<>();
@@ -87,6 +88,20 @@
     this.quarantine = new Quarantine(loop);
     this.log = log;
     this.maxSavedRetries = maxSavedRetries;
+    this.evacuations = new Evacuations(loop, log);
+    evacuations.onEnded(servers::turnedCold);
+    servers.coldAfterStart(this::coldStartMs);
+  }
+
+  private long coldStartMs(String service) {
+    ServingConfig current = config;
+    ServiceInfo info = current == null ? null : current.service(service);
+    return info == null ? 0 : info.coldStartMs();
+  }
+
+  /** Returns the data centres whose servers are to get nothing. */
+  public Evacuations evacuations() {
+    return evacuations;
   }
 
   /**
@@ -127,10 +142,10 @@
   /**
    * Returns true once requests can be served. Without the named weights a VM that has just started
    * would let any engine begin on those that it happens to have, however long ago they were
-   * replaced.
+   * replaced; without the evacuations it would send to emptied data centres.
    */
   public boolean ready() {
-    return config != null && servers.known() && weightsListed;
+    return config != null && servers.known() && weightsListed && evacuations.known();
   }
 
   /** Returns the configuration in force, or null if none is known. */
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/StructuredDecisionLog.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/StructuredDecisionLog.java
@@ -148,6 +148,15 @@
         .log("configuration in force");
   }
 
+  @Override
+  public void evacuation(String dataCentre, boolean begins, long stoodMs) {
+    servers
+        .atInfo()
+        .addKeyValue("dataCentre", dataCentre)
+        .addKeyValue("stoodMs", stoodMs)
+        .log(begins ? "evacuation begins" : "evacuation ends");
+  }
+
   @Override
   public void weights(String model, long version, long revision, Heard heard, long agoMs) {
     weights
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/Team.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/Team.java
@@ -20,5 +20,11 @@
  *
  * @param isolated true if it shares no kept state with other teams
  * @param priority goes before a route's; -1 if it has none
+ * @param homes where its requests may run
  */
-public record Team(String name, boolean isolated, int priority) {}
+public record Team(String name, boolean isolated, int priority, Homes homes) {
+  /** Creates a team whose requests may run anywhere. */
+  public Team(String name, boolean isolated, int priority) {
+    this(name, isolated, priority, Homes.ANYWHERE);
+  }
+}
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/WaitingRuns.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/WaitingRuns.java
@@ -72,6 +72,11 @@
     return false;
   }
 
+  /** Returns how many requests wait. */
+  int size() {
+    return waiting.size();
+  }
+
   void remove(RequestRun run) {
     waiting.removeIf(each -> each.run == run);
   }
--- /dev/null
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/EvacuationsTest.java
@@ -0,0 +1,163 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.serving;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Evacuated data centres, and servers that are cold afterwards, as one VM decides. */
+public final class EvacuationsTest {
+  private static final String HERE = "dc-1";
+  private static final String THERE = "dc-2";
+  private static final long COLD_START_MS = 400;
+
+  private ServingWorld world;
+
+  @BeforeMethod
+  public void create() {
+    world = new ServingWorld();
+    configure(2, 0.5);
+  }
+
+  private void configure(long version, double coldPerSecond) {
+    ServingConfig before = ServingWorld.config(version, "plain");
+    ServiceInfo plain =
+        new ServiceInfo("plain", "/health", 100, null, coldPerSecond, COLD_START_MS);
+    world.state.configure(
+        new ServingConfig(
+            version,
+            List.of(
+                before.route("host", "/safe/").orElseThrow(),
+                before.route("host", "/chat/").orElseThrow()),
+            Map.of("plain", plain, "engines", before.services().get("engines")),
+            Map.of(ServingWorld.KEY, new Team("team-1", false, -1)),
+            CallerLimits.DEFAULT,
+            List.of()),
+        version);
+  }
+
+  private String dataCentreOfLast() {
+    Backend backend = world.book.find(world.transport.last().call.serverId());
+    return backend == null ? "" : backend.entry().dataCentre();
+  }
+
+  @Test
+  public void whatRunsThereGoesOnAndTheNextGoesElsewhere() {
+    RecordingSink running = world.serve("/safe/x");
+    assertEquals(dataCentreOfLast(), HERE);
+    world.state.evacuations().begin(HERE);
+    assertFalse(world.transport.last().cancelled);
+    world.transport.last().answer(200, "done");
+    assertEquals(running.seen.toString(), "answer 200 done");
+    world.serve("/safe/x");
+    assertEquals(dataCentreOfLast(), THERE);
+  }
+
+  /** The retry of a request that failed there is a send like any other. */
+  @Test
+  public void aRetryGoesElsewhere() {
+    world.serve("/safe/x");
+    world.state.evacuations().begin(HERE);
+    world.transport.last().answer(500, "");
+    assertEquals(world.transport.sends.size(), 2);
+    assertEquals(dataCentreOfLast(), THERE);
+  }
+
+  @Test
+  public void withoutAServerItIsRefusedAtOnce() {
+    world.state.evacuations().begin(HERE);
+    world.state.evacuations().begin(THERE);
+    RecordingSink refused = world.serve("/safe/x");
+    assertEquals(refused.seen.toString(), "refused NO_BACKEND_SERVER");
+    assertTrue(refused.retryAfterMs > 0);
+    assertEquals(world.transport.sends.size(), 0);
+  }
+
+  /** Servers may have turned cold shortly before: each VM begins with its share. */
+  @Test
+  public void whenItIsTakenBackTheServersAreCold() {
+    world.state.evacuations().begin(HERE);
+    world.state.evacuations().begin(THERE);
+    world.state.evacuations().end(HERE);
+    RecordingSink first = world.serve("/safe/x");
+    assertEquals(world.transport.sends.size(), 0, "this VM knows no others: a tiny share");
+    assertEquals(first.seen.toString(), "");
+    world.loop.advance(COLD_START_MS + 100);
+    assertEquals(world.transport.sends.size(), 1);
+    assertEquals(dataCentreOfLast(), HERE);
+  }
+
+  /** What cannot come in time is not let wait. */
+  @Test
+  public void aRequestThatColdServersCannotHaveInTimeIsRefusedAtOnce() {
+    for (String id : List.of("p1", "p2")) {
+      world.book.put(cold(ServingWorld.plain(id, HERE)), 3);
+    }
+    world.state.evacuations().begin(THERE);
+    RecordingSink refused = world.serve("/safe/x");
+    assertEquals(refused.seen.toString(), "refused NO_BACKEND_SERVER");
+  }
+
+  private static ServerEntry cold(ServerEntry entry) {
+    return new ServerEntry(
+        entry.id(),
+        entry.service(),
+        entry.address(),
+        entry.dataCentre(),
+        entry.slots(),
+        false,
+        60_000,
+        entry.weightVersions());
+  }
+
+  /** The store lost its latest changes; operators write them again within seconds. */
+  @Test
+  public void whatAnOlderStoreLacksStandsForAWhile() {
+    world.state.evacuations().replaceAll(Set.of(HERE), false);
+    world.state.evacuations().replaceAll(Set.of(), true);
+    world.loop.advance(5_000);
+    assertTrue(world.state.evacuations().holds(HERE));
+    world.loop.advance(10_000);
+    assertFalse(world.state.evacuations().holds(HERE));
+  }
+
+  @Test
+  public void whatIsWrittenAgainStandsUntilItIsTakenBack() {
+    world.state.evacuations().replaceAll(Set.of(HERE), false);
+    world.state.evacuations().replaceAll(Set.of(), true);
+    world.state.evacuations().begin(HERE);
+    world.loop.advance(20_000);
+    assertTrue(world.state.evacuations().holds(HERE));
+    world.state.evacuations().replaceAll(Set.of(), false);
+    assertFalse(world.state.evacuations().holds(HERE));
+  }
+
+  @Test
+  public void aVmThatReadsThemKnowsThemBeforeItServes() {
+    world.state.evacuations().areRead();
+    assertEquals(world.serve("/safe/x").seen.toString(), "refused NOT_READY");
+    world.state.evacuations().replaceAll(Set.of(HERE), false);
+    world.serve("/safe/x");
+    assertEquals(dataCentreOfLast(), THERE);
+  }
+}
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/PartPlans.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/PartPlans.java
@@ -38,7 +38,8 @@
   }
 
   static PartSources sources(PartStores stores, ManualLoop loop, String scope, Prompt prompt) {
-    return new PartSources(scope, prompt, INFO, stores, noPeers(loop), loop.millis());
+    return new PartSources(
+        scope, prompt, INFO, stores, store -> true, noPeers(loop), loop.millis());
   }
 
   static PartMoves moves(PartStores stores, ManualLoop loop, String scope, Prompt prompt) {
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/ServerBookTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/ServerBookTest.java
@@ -20,7 +20,6 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
-import java.util.Set;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -50,7 +49,7 @@
 
   private List<String> usable() {
     List<String> ids = new ArrayList<>();
-    for (Backend backend : book.usable("engines", Set.of())) {
+    for (Backend backend : book.usable("engines", backend -> true)) {
       ids.add(backend.entry().id());
     }
     Collections.sort(ids);
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/ServerRestartTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/ServerRestartTest.java
@@ -24,7 +24,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.Set;
 import org.landingtrack.internal.loads.LoadNews;
 import org.landingtrack.internal.loads.LoadNews.Kind;
 import org.landingtrack.internal.loads.LoadNews.Load;
@@ -67,7 +66,7 @@
 
   private List<String> usable(String service) {
     List<String> ids = new ArrayList<>();
-    for (Backend backend : world.book.usable(service, Set.of())) {
+    for (Backend backend : world.book.usable(service, backend -> true)) {
       ids.add(backend.entry().id());
     }
     return ids;
