A store that comes back from an older copy: generations stand before revisions

A feed that sees a later generation reads all again. A lease is not taken before one that was lost must be over, also by a process that has just started, and tokens go on above all that were given.

--- a/landingtrack/src/main/java/org/landingtrack/internal/lease/Lease.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/lease/Lease.java
@@ -33,6 +33,10 @@
  * holder that was paused may still believe in its lease for an instant; that is what the token in
  * every order is for.
  *
+ * <p>A store that comes back from an older copy has lost who holds the lease. Whoever sees that, or
+ * reads such a store for the first time, takes nothing before a holding that was lost must be over;
+ * tokens go on above all that were given before.
+ *
  * <p>{@link #step}, {@link #look} and {@link #beforeUntilMs} are called by one thread; {@link
  * #token} by any.
  */
@@ -43,6 +47,9 @@
   /** How much longer than the duration others wait. */
   static final double DRIFT_MARGIN = 1.1;
 
+  /** A generation has room for so many bits of holdings. */
+  private static final int GENERATION_SHIFT = 32;
+
   private final ObjectApi api;
   private final Ticker ticker;
   private final String key;
@@ -52,6 +59,8 @@
   private long seenVersion = -1;
   private long seenSinceMs;
   private long beforeUntilMs = Long.MIN_VALUE;
+  private long generation = -1;
+  private long unsureSinceMs;
   private volatile long epoch;
   private volatile long holdUntilMs = Long.MIN_VALUE;
 
@@ -88,9 +97,9 @@
   /** Acquires or renews if possible. Call it several times in a duration. */
   public void step() {
     try {
-      Optional<StoredObject> stored = api.read(CallClass.LEASE, key);
+      Optional<StoredObject> stored = read();
       if (stored.isEmpty()) {
-        write(new LeaseRecord(self, 1, durationMs, 0), ObjectApi.ABSENT);
+        create();
         return;
       }
       consider(stored.get());
@@ -105,12 +114,40 @@
    */
   public void look() {
     try {
-      api.read(CallClass.LEASE, key).ifPresent(this::see);
+      read().ifPresent(this::see);
     } catch (PlatformException e) {
       // It is seen later, and then counts as newer than it is.
     }
   }
 
+  private Optional<StoredObject> read() {
+    Optional<StoredObject> stored = api.read(CallClass.LEASE, key);
+    if (api.generation() != generation) {
+      generation = api.generation();
+      unsureSinceMs = ticker.millis();
+      holdUntilMs = Long.MIN_VALUE;
+    }
+    return stored;
+  }
+
+  /** Returns until when a holding that the store has forgotten may last, by its longest time. */
+  private long forgottenUntilMs() {
+    return generation == 0 ? Long.MIN_VALUE : unsureSinceMs + (long) (durationMs * DRIFT_MARGIN);
+  }
+
+  private void create() {
+    if (ticker.millis() < forgottenUntilMs()) {
+      return;
+    }
+    write(new LeaseRecord(self, nextEpoch(0), durationMs, 0), ObjectApi.ABSENT);
+    beforeUntilMs = forgottenUntilMs();
+  }
+
+  /** Tokens of a later generation of the store are above all that it may have forgotten. */
+  private long nextEpoch(long before) {
+    return Math.max(before, generation << GENERATION_SHIFT) + 1;
+  }
+
   private void see(StoredObject stored) {
     if (stored.version() != seenVersion) {
       seenVersion = stored.version();
@@ -128,11 +165,14 @@
           stored.version());
       return;
     }
+    if (now < forgottenUntilMs()) {
+      return;
+    }
     boolean lapsed = now - seenSinceMs >= record.durationMs() * DRIFT_MARGIN;
     if (record.holder().isEmpty() || lapsed) {
       long until = seenSinceMs + (record.holder().isEmpty() ? 0 : longestHoldMs(record));
-      write(new LeaseRecord(self, record.epoch() + 1, durationMs, 0), stored.version());
-      beforeUntilMs = until;
+      write(new LeaseRecord(self, nextEpoch(record.epoch()), durationMs, 0), stored.version());
+      beforeUntilMs = Math.max(until, forgottenUntilMs());
     }
   }
 
--- a/landingtrack/src/main/java/org/landingtrack/internal/platform/FeedCache.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/platform/FeedCache.java
@@ -62,6 +62,11 @@
         sink.replaced(all);
       }
 
+      @Override
+      public void rewound() {
+        sink.rewound();
+      }
+
       @Override
       public void changed(Listing changes) {
         change(prefix, changes);
--- a/landingtrack/src/main/java/org/landingtrack/internal/platform/ObjectApi.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/platform/ObjectApi.java
@@ -47,6 +47,14 @@
   /** Expected version for a create: there must be no such object. */
   long ABSENT = 0;
 
+  /**
+   * Returns how many times the store is known to have come back from an older copy of itself. What
+   * it had acknowledged shortly before is gone then; revisions rise nevertheless.
+   */
+  default long generation() {
+    return 0;
+  }
+
   /** Reads one object. */
   Optional<StoredObject> read(CallClass callClass, String key);
 
--- a/landingtrack/src/main/java/org/landingtrack/internal/platform/ObjectFeed.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/platform/ObjectFeed.java
@@ -52,6 +52,7 @@
   private final Backoff backoff;
   private final Thread thread;
   private long revision = -1;
+  private long generation = -1;
   private int failures;
   private boolean lost;
   private boolean moreMayFollow;
@@ -62,6 +63,12 @@
     /** All objects under the prefix as they are now. */
     void replaced(Listing all);
 
+    /**
+     * The store came back from an older copy of itself: what is read next lacks what it had
+     * acknowledged shortly before, until that is written again.
+     */
+    default void rewound() {}
+
     /** Objects that changed since; removed ones have no value. */
     void changed(Listing changes);
 
@@ -133,10 +140,15 @@
     if (from < 0) {
       Listing all = api.list(CallClass.CONFIGURATION, prefix, "", ALL);
       revision = all.revision();
+      noteGeneration(Revision.generation(revision));
       sink.replaced(all);
       return;
     }
     Listing changes = api.watch(CallClass.CONFIGURATION, prefix, from, waitMs);
+    if (Revision.generation(changes.revision()) > Revision.generation(from)) {
+      throw new PlatformException(
+          PlatformException.Reason.TOO_OLD, "the store came back from an older copy");
+    }
     revision = Math.max(from, changes.revision());
     moreMayFollow = !changes.objects().isEmpty();
     if (moreMayFollow) {
@@ -144,6 +156,19 @@
     }
   }
 
+  /** Its return counts as the end of trouble: entries may be missing until they are rewritten. */
+  private void noteGeneration(long read) {
+    if (generation >= 0 && read > generation) {
+      log.atWarn()
+          .addKeyValue("prefix", prefix)
+          .addKeyValue("generation", read)
+          .log("store came back from an older copy");
+      lost = true;
+      sink.rewound();
+    }
+    generation = read;
+  }
+
   private void noteAnswer() {
     failures = 0;
     if (lost) {
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/platform/Revision.java
@@ -0,0 +1,45 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.platform;
+
+/**
+ * Revisions that rise for ever. A store that comes back from an older copy gives its revisions out
+ * again; here the number of times that it did so stands before them, so that what is merged by the
+ * greater revision needs to know nothing of it.
+ */
+public final class Revision {
+  private static final int NUMBER_BITS = 47;
+
+  /** The largest generation that fits before a revision. */
+  public static final long MAX_GENERATION = (1L << (Long.SIZE - 1 - NUMBER_BITS)) - 1;
+
+  private Revision() {}
+
+  /** Returns the revision with a number of the store's in a generation of it. */
+  public static long of(long generation, long number) {
+    return (generation << NUMBER_BITS) | number;
+  }
+
+  /** Returns how many times the store had come back from an older copy. */
+  public static long generation(long revision) {
+    return revision >> NUMBER_BITS;
+  }
+
+  /** Returns the store's own number. */
+  public static long number(long revision) {
+    return revision & ((1L << NUMBER_BITS) - 1);
+  }
+}
--- a/landingtrack/src/main/java/org/landingtrack/internal/quarantine/Quarantine.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/quarantine/Quarantine.java
@@ -292,6 +292,17 @@
     return suspect.news(ticker.millis());
   }
 
+  /** Returns all quarantined requests. */
+  List<SuspectNews> held() {
+    List<SuspectNews> held = new ArrayList<>();
+    for (Suspect suspect : suspects.values()) {
+      if (isHeld(suspect)) {
+        held.add(suspect.news(ticker.millis()));
+      }
+    }
+    return held;
+  }
+
   /** Notes that the platform's store has a request, and has other VMs told. */
   void saved(RequestDigest digest) {
     Suspect suspect = find(digest);
--- a/landingtrack/src/main/java/org/landingtrack/internal/quarantine/QuarantineArchive.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/quarantine/QuarantineArchive.java
@@ -132,6 +132,19 @@
     later.run(delayMs, () -> saveIfDue(suspicion.digest()));
   }
 
+  /**
+   * Writes again what the store may have lost: it came back from an older copy. Any thread may call
+   * it; what the store still has costs one read each.
+   */
+  public void storeRewound() {
+    loop.execute(
+        () -> {
+          for (SuspectNews held : quarantine.held()) {
+            later.run(random.nextInt(OTHERS_SPREAD_MS), () -> calls.execute(() -> save(held)));
+          }
+        });
+  }
+
   private void saveIfDue(RequestDigest digest) {
     SuspectNews unsaved = quarantine.unsaved(digest);
     if (unsaved != null) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerBook.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerBook.java
@@ -42,6 +42,9 @@
  * An entry costs the same to take however many there are.
  */
 public final class ServerBook {
+  /** What is gone, and returns with an older copy of the store, lapses there within this time. */
+  private static final long RETURNED_MS = 5_000;
+
   private final EventLoop loop;
   private final DecisionLog log;
   private final long lastResortMs;
@@ -54,6 +57,7 @@
   private boolean known;
   private long listedAtMs;
   private long storeBackAtMs;
+  private long rewoundAtMs = Long.MIN_VALUE / 2;
 
   /** Entries that went from then on may have lapsed, until the store has been back for a while. */
   private long doubtSinceMs;
@@ -137,6 +141,23 @@
     storeBackAtMs = now;
   }
 
+  /**
+   * Notes that the store came back from an older copy, before {@link #replaceAll} takes what it has
+   * now. A server that was gone is not back by that: without this, one that had left long ago got
+   * requests again.
+   */
+  public void storeRewound() {
+    rewoundAtMs = loop.millis();
+  }
+
+  private boolean isGoneForGood(String id) {
+    Backend backend = backends.get(id);
+    return backend != null
+        && backend.isRemoved()
+        && loop.millis() - rewoundAtMs < RETURNED_MS
+        && !mayHaveLapsed(backend, loop.millis());
+  }
+
   /**
    * Takes a full list; servers that it lacks are gone. It does not say since when a server leaves:
    * one that was not seen to begin is no last resort.
@@ -147,6 +168,9 @@
     Set<String> listed = new HashSet<>();
     for (ServerEntry entry : entries) {
       listed.add(entry.id());
+      if (isGoneForGood(entry.id())) {
+        continue;
+      }
       put(entry, revision, listedAtMs - lastResortMs);
     }
     for (String id : List.copyOf(backends.keySet())) {
--- /dev/null
+++ b/landingtrack/src/test/java/org/landingtrack/internal/lease/RewoundLeaseTest.java
@@ -0,0 +1,163 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.lease;
+
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.jspecify.annotations.Nullable;
+import org.landingtrack.internal.platform.ObjectApi;
+import org.landingtrack.internal.platform.PlatformException;
+import org.landingtrack.internal.platform.PlatformException.Reason;
+import org.landingtrack.internal.platform.Revision;
+import org.landingtrack.internal.platform.StoredObject;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Some processes seek one lease in a store that comes back from an older copy again and again, and
+ * are started anew. Never do two hold it at once, and no token is lower than one given before.
+ */
+public final class RewoundLeaseTest {
+  private static final int SEEDS = 60;
+  private static final int PROCESSES = 3;
+  private static final long DURATION_MS = 1_500;
+  private static final long STEP_MS = 50;
+  private static final int STEPS = 4_000;
+
+  private long nowMs;
+
+  /** The store, with the copy that it may come back from. */
+  private static final class Store implements ObjectApi {
+    private @Nullable StoredObject object;
+    private @Nullable StoredObject copy;
+    private long number = 1;
+    private long copyNumber = 1;
+    private long generation;
+
+    void keepCopy() {
+      copy = object;
+      copyNumber = number;
+    }
+
+    void comeBack() {
+      generation++;
+      number = copyNumber;
+      object = copy == null ? null : dated(copy.value(), Revision.number(copy.version()));
+    }
+
+    private StoredObject dated(String value, long of) {
+      long revision = Revision.of(generation, of);
+      return new StoredObject("leases/l", revision, revision, value);
+    }
+
+    @Override
+    public long generation() {
+      return generation;
+    }
+
+    @Override
+    public Optional<StoredObject> read(CallClass callClass, String key) {
+      return Optional.ofNullable(object);
+    }
+
+    @Override
+    public StoredObject write(CallClass callClass, String key, String value, long expected) {
+      long current = object == null ? ABSENT : object.version();
+      if (current != expected) {
+        throw new PlatformException(Reason.CONFLICT, "another version", current);
+      }
+      StoredObject written = dated(value, ++number);
+      object = written;
+      return written;
+    }
+
+    @Override
+    public Listing list(CallClass callClass, String prefix, String after, int limit) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public Listing watch(CallClass callClass, String prefix, long afterRevision, long waitMs) {
+      throw new UnsupportedOperationException();
+    }
+  }
+
+  @DataProvider
+  public Object[][] seeds() {
+    Object[][] seeds = new Object[SEEDS][];
+    for (int seed = 0; seed < SEEDS; seed++) {
+      seeds[seed] = new Object[] {seed};
+    }
+    return seeds;
+  }
+
+  @Test(dataProvider = "seeds")
+  public void neverTwoHoldItAndTokensRise(int seed) {
+    SplittableRandom random = new SplittableRandom(seed);
+    Store store = new Store();
+    nowMs = 0;
+    List<Lease> processes = new ArrayList<>();
+    for (int i = 0; i < PROCESSES; i++) {
+      processes.add(process(store, seed, i));
+    }
+    long highest = 0;
+    int holdings = 0;
+    for (int step = 0; step < STEPS; step++) {
+      nowMs += STEP_MS;
+      trouble(store, processes, seed * STEPS + step, random);
+      Lease next = processes.get(random.nextInt(PROCESSES));
+      if (random.nextInt(10) == 0) {
+        next.release();
+      } else {
+        next.step();
+      }
+      long held = 0;
+      for (Lease lease : processes) {
+        if (lease.token().isPresent()) {
+          assertTrue(held == 0, "two hold it at " + nowMs);
+          held = lease.token().getAsLong();
+        }
+      }
+      assertTrue(held == 0 || held >= highest, held + " after " + highest + " at " + nowMs);
+      holdings += held > highest ? 1 : 0;
+      highest = Math.max(highest, held);
+    }
+    assertTrue(holdings > 10, "it is won again: " + holdings);
+  }
+
+  private Lease process(Store store, int start, int place) {
+    return new Lease(store, () -> nowMs, "l", "p-" + start + "-" + place, DURATION_MS);
+  }
+
+  /** A process that is started anew is another one: the one before has stopped. */
+  private void trouble(Store store, List<Lease> processes, int start, SplittableRandom random) {
+    int drawn = random.nextInt(100);
+    if (drawn < 4) {
+      store.keepCopy();
+    } else if (drawn < 6) {
+      store.comeBack();
+    } else if (drawn == 6) {
+      int stopped = random.nextInt(PROCESSES);
+      if (processes.get(stopped).token().isEmpty()) {
+        processes.set(stopped, process(store, start, stopped));
+      }
+    }
+  }
+}
