--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/BackendTransport.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/BackendTransport.java
@@ -80,7 +80,9 @@
     /** The server has other weights. */
     OTHER_VERSION,
     /** The server refused the request itself. */
-    REFUSED
+    REFUSED,
+    /** Its time was over before it could be sent. */
+    TOO_LATE
   }
 
   /** An event of a stream; {@code id} is empty for one without. */
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
@@ -392,7 +392,7 @@
         }
         case FULL -> sent.backend().refused(loop.millis());
         case OTHER_VERSION -> sent.refusedWeights(serving.state());
-        case REFUSED -> {}
+        case REFUSED, TOO_LATE -> {}
       }
       if (!trySendAgain()) {
         failWithout("not run: " + why);
