--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/Evacuations.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/Evacuations.java
@@ -61,7 +61,7 @@
   }
 
   /** Says that this VM reads which stand: until it has, it does not know. */
-  public void areRead() {
+  public void expectList() {
     known = false;
   }
 
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerEnds.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerEnds.java
@@ -38,6 +38,7 @@
    */
   private static final long LOOK_AGAIN_MS = 250;
 
+  /** Connects to a server after a request broke off there: one more than is mostly needed. */
   private static final int LOOKS = 2;
 
   private final Quarantine quarantine;
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/EvacuationsTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/EvacuationsTest.java
@@ -154,7 +154,7 @@
 
   @Test
   public void aVmThatReadsThemKnowsThemBeforeItServes() {
-    world.state.evacuations().areRead();
+    world.state.evacuations().expectList();
     assertEquals(world.serve("/safe/x").seen.toString(), "refused NOT_READY");
     world.state.evacuations().replaceAll(Set.of(HERE), false);
     world.serve("/safe/x");
