--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/Fleet.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/Fleet.java
@@ -172,6 +172,17 @@
     return active;
   }
 
+  /** Returns the other VMs that some VM received a message from recently. */
+  List<Vm> recentlyActive(long nowMs) {
+    List<Vm> active = new ArrayList<>();
+    for (KnownVm entry : known.values()) {
+      if (nowMs - entry.activeAtMs <= MAX_SIGHTING_AGE_MS && !entry.isSameVm(self)) {
+        active.add(entry.vm);
+      }
+    }
+    return active;
+  }
+
   /** Returns the other VMs from which no message arrived for a time. */
   List<Vm> inactiveFor(long ms, long nowMs) {
     List<Vm> silent = new ArrayList<>();
--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/PeerLoads.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/PeerLoads.java
@@ -269,6 +269,11 @@
     return isNew || isAlone ? Math.max(maxKnownVms, ASSUMED_VMS) : maxKnownVms;
   }
 
+  /** Returns the other VMs that some VM received a message from recently. */
+  public List<Vm> recentVms() {
+    return fleet.recentlyActive(ticker.millis());
+  }
+
   /** Returns the number of other VMs whose load is currently unknown. */
   public int unreportedVms() {
     long now = ticker.millis();
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/Attempt.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/Attempt.java
@@ -65,6 +65,9 @@
     /** The attempt failed, and the server may have run the request or still run it. It is over. */
     void outcomeUnknown(Attempt sent, String why);
 
+    /** The network link to the server failed; the attempt goes on. */
+    void linkDown(Attempt sent);
+
     /** The server had not started the request in time, so it was cancelled there. It is over. */
     void withdrawn(Attempt sent);
   }
@@ -128,7 +131,7 @@
    */
   private void withdrawIfNotStarted() {
     if (head == null && !over) {
-      cancel();
+      var unused = cancel();
       outcomeListener.withdrawn(this);
     }
   }
@@ -151,16 +154,18 @@
     return plan.backend().entry().id();
   }
 
-  /** Cancels the attempt; its listener receives nothing more. */
-  void cancel() {
-    if (close() && exchange != null) {
-      exchange.cancel();
-    }
+  /**
+   * Cancels the attempt; its listener receives nothing more.
+   *
+   * @return true if the server may have received the request
+   */
+  boolean cancel() {
+    return close() && exchange != null && exchange.cancel();
   }
 
   /** Fails the attempt as if its connection had broken: the server may have run the request. */
   void failInDoubt(String why) {
-    cancel();
+    var unused = cancel();
     outcomeListener.outcomeUnknown(this, why);
   }
 
@@ -280,6 +285,14 @@
     }
   }
 
+  @Override
+  public void linkDown() {
+    if (!over) {
+      health.onClosed(this);
+      outcomeListener.linkDown(this);
+    }
+  }
+
   @Override
   public void outcomeUnknown(String why) {
     health.onFailure(this);
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/BackendTransport.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/BackendTransport.java
@@ -28,11 +28,12 @@
   Exchange send(BackendCall call, Listener listener);
 
   /**
-   * Opens a connection to an address and closes it again.
+   * Opens a connection to a server and closes it again.
    *
-   * @param refused receives true if the connection was refused: no server listens there any more
+   * @param refused receives true if the connection was refused: no server listens there any more. A
+   *     refusal that may be due to this VM's own network link does not count.
    */
-  void probe(String address, Consumer<Boolean> refused);
+  void probe(String serverId, String address, Consumer<Boolean> refused);
 
   /** Drops the connections to a server that is gone. */
   void dropConnections(String serverId);
@@ -69,14 +70,20 @@
   /** A handle of a call in flight. */
   @FunctionalInterface
   interface Exchange {
-    /** Cancels the call by closing its connection. The listener is not called any more. */
-    void cancel();
+    /**
+     * Cancels the call by closing its connection. The listener is not called any more.
+     *
+     * @return true if the server may have received the call, false if it was not sent yet
+     */
+    boolean cancel();
   }
 
   /** The reason why a call certainly did not run. */
   enum NotRunReason {
-    /** No connection could be opened. */
+    /** No connection could be opened, and the server is the cause as far as is known. */
     NO_CONNECTION,
+    /** This VM does not reach the server, which says nothing about the server. */
+    UNREACHABLE,
     /** The server had no capacity, or the deadline passed in its queue. */
     FULL,
     /** Another incarnation of the server, or another server, has the address. */
@@ -143,6 +150,12 @@
     /** A complete event of a stream arrived. */
     void event(StreamEvent event);
 
+    /**
+     * The network link to the server failed while the call waits for the server. The call is not
+     * over: it may still be answered if the link recovers in time.
+     */
+    default void linkDown() {}
+
     /** The response is complete; {@code body} is empty for a stream. The call is over. */
     void completed(byte[] body);
 
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/CrashDetector.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/CrashDetector.java
@@ -85,7 +85,8 @@
 
   private void probe(Backend server, BrokenRequests pending) {
     pending.probes++;
-    transport.probe(server.entry().address(), refused -> onProbed(server, refused));
+    transport.probe(
+        server.entry().id(), server.entry().address(), refused -> onProbed(server, refused));
   }
 
   private void onProbed(Backend server, boolean refused) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
@@ -406,7 +406,7 @@
 
   private void cancel(Attempt current) {
     attempt = null;
-    current.cancel();
+    var unused = current.cancel();
   }
 
   private void refuse(ErrorKind kind, String why, long retryAfterMs) {
@@ -453,6 +453,12 @@
           send();
           return;
         }
+        case UNREACHABLE -> {
+          if (history.recordConnectFailure()) {
+            send();
+            return;
+          }
+        }
         case OTHER_SERVER -> {
           sent.backend().markReplaced();
           serving.ends().onServerEnded(sent.backend());
@@ -529,6 +535,25 @@
       retryOrFailInDoubt(why);
     }
 
+    /**
+     * Retries a request that may be repeated. Any other one waits on: its server may run it, and
+     * the response still arrives if the link recovers before the deadline.
+     */
+    @Override
+    public void linkDown(Attempt sent) {
+      boolean mayRepeat = route != null && route.retryMode() != RetryMode.NEVER;
+      if (response.hasStartedStream()) {
+        mayRepeat = route != null && route.retryMode() == RetryMode.RESUME;
+      }
+      if (!mayRepeat || !mayRetry() || !serving.state().retries(service).tryRetry()) {
+        return;
+      }
+      cancel(sent);
+      history.markInDoubt();
+      serving.log().attemptInDoubt(RequestRun.this, sent.serverId(), "in doubt", "link down");
+      send();
+    }
+
     /** Does not count as a failure of the server: its weights were replaced, or it was probed. */
     @Override
     public void withdrawn(Attempt sent) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerRegistry.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerRegistry.java
@@ -405,6 +405,12 @@
     return loads;
   }
 
+  /** Returns the address of a server that is not removed, or null if there is none with the id. */
+  public @Nullable String addressOf(String id) {
+    Backend backend = backends.get(id);
+    return backend == null || backend.isRemoved() ? null : backend.entry().address();
+  }
+
   @Nullable Backend find(String id) {
     return backends.get(id);
   }
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/FakeTransport.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/FakeTransport.java
@@ -59,11 +59,14 @@
   public Exchange send(BackendCall call, Listener listener) {
     Sent sent = new Sent(call, listener);
     sends.add(sent);
-    return () -> sent.cancelled = true;
+    return () -> {
+      sent.cancelled = true;
+      return true;
+    };
   }
 
   @Override
-  public void probe(String address, Consumer<Boolean> refused) {
+  public void probe(String serverId, String address, Consumer<Boolean> refused) {
     probes.add(refused);
     probedAddresses.add(address);
   }
