Report a request that was never sent as not run at its deadline

Nothing had been sent, so the caller could have gone to another VM.

Cause: at the deadline each request with an attempt counted as in doubt. Change: the transport says whether a cancelled call may have reached the server. Evidence: RequestRunTest.requestThatWasNeverSentIsReportedAsNotRunAtItsDeadline got DEADLINE_IN_RUN before. The commit also tests how requests react to a failed link: retried only if they may run twice and within the retry budget, and no ejection of servers that are out of reach.

--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
@@ -306,8 +306,7 @@
     if (!isThis || (current != null && current.hasStarted())) {
       return;
     }
-    if (current != null) {
-      cancel(current);
+    if (current != null && cancel(current)) {
       history.markInDoubt();
     }
     endQuarantined();
@@ -346,8 +345,7 @@
     if (done) {
       return;
     }
-    if (current != null) {
-      cancel(current);
+    if (current != null && cancel(current)) {
       history.markInDoubt();
     }
     if (response.hasStartedStream()) {
@@ -365,7 +363,7 @@
       return;
     }
     String server = serverName();
-    cancelAttempt();
+    var unused = cancelAttempt();
     finish();
     serving.log().aborted(this, server, "the caller left");
   }
@@ -386,8 +384,7 @@
     if (done) {
       return;
     }
-    boolean mayHaveRun = history.inDoubt() || attempt != null;
-    cancelAttempt();
+    boolean mayHaveRun = cancelAttempt() || history.inDoubt();
     if (response.hasStartedStream()) {
       abortStream(why);
     } else if (mayHaveRun) {
@@ -397,16 +394,15 @@
     }
   }
 
-  private void cancelAttempt() {
+  /** Cancels the attempt in flight; returns true if a server may have received it. */
+  private boolean cancelAttempt() {
     Attempt current = attempt;
-    if (current != null) {
-      cancel(current);
-    }
+    return current != null && cancel(current);
   }
 
-  private void cancel(Attempt current) {
+  private boolean cancel(Attempt current) {
     attempt = null;
-    var unused = current.cancel();
+    return current.cancel();
   }
 
   private void refuse(ErrorKind kind, String why, long retryAfterMs) {
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/FakeTransport.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/FakeTransport.java
@@ -35,6 +35,9 @@
     final Listener listener;
     boolean cancelled;
 
+    /** True while the connection to the server is being opened, so that nothing was sent. */
+    boolean connecting;
+
     Sent(BackendCall call, Listener listener) {
       this.call = call;
       this.listener = listener;
@@ -61,7 +64,7 @@
     sends.add(sent);
     return () -> {
       sent.cancelled = true;
-      return true;
+      return !sent.connecting;
     };
   }
 
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/RequestRunTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/RequestRunTest.java
@@ -218,6 +218,70 @@
     assertTrue(fixture.transport.last().cancelled);
   }
 
+  @Test
+  public void requestThatWasNeverSentIsReportedAsNotRunAtItsDeadline() {
+    RecordingSink sink = fixture.serve("/never/x");
+    fixture.transport.last().connecting = true;
+    fixture.loop.advance(1_200);
+    assertEquals(sink.log.toString(), "refused OVERLOADED");
+    assertTrue(fixture.transport.last().cancelled);
+  }
+
+  /** The path, and whether the request is retried when the link to its server fails. */
+  @DataProvider
+  public Object[][] linkFailures() {
+    return new Object[][] {
+      {"/never/x", false}, {"/once/x", false}, {"/safe/x", true}, {"/chat/x", true},
+    };
+  }
+
+  @Test(dataProvider = "linkFailures")
+  public void failedLinkRetriesOnlyWhatMayRunTwice(String path, boolean isRetried) {
+    RecordingSink sink = fixture.serve(path);
+    FakeTransport.Sent first = fixture.transport.last();
+    first.listener.linkDown();
+    assertEquals(fixture.transport.sends.size(), isRetried ? 2 : 1);
+    assertEquals(first.cancelled, isRetried);
+    fixture.transport.last().answer(200, "hello");
+    assertEquals(sink.log.toString(), "answer 200 hello");
+  }
+
+  @Test
+  public void failedLinkRetriesWithinTheRetryBudget() {
+    for (int i = 0; i < 30; i++) {
+      fixture.serve("/safe/x");
+    }
+    List<FakeTransport.Sent> first = List.copyOf(fixture.transport.sends);
+    first.forEach(sent -> sent.listener.linkDown());
+    int retries = fixture.transport.sends.size() - first.size();
+    assertTrue(retries > 0 && retries <= 3 + 30 * 20 / 100, retries + " retries");
+  }
+
+  @Test
+  public void unreachableServerIsNotEjected() {
+    for (int i = 0; i < 6; i++) {
+      fixture.serve("/never/x");
+      for (int server = 0; server < 3; server++) {
+        fixture.transport.last().listener.notRun(NotRunReason.UNREACHABLE, "link down");
+      }
+    }
+    for (String id : List.of("p1", "p2", "p3")) {
+      Backend backend = fixture.book.find(id);
+      assertTrue(backend != null && !backend.isEjected(fixture.loop.millis()), id);
+    }
+    assertEquals(fixture.serving.fleetEjectedCount(), 0);
+  }
+
+  @Test
+  public void requestIsRefusedAsNotRunIfNoServerIsReachable() {
+    RecordingSink sink = fixture.serve("/never/x");
+    for (int server = 0; server < 3; server++) {
+      fixture.transport.last().listener.notRun(NotRunReason.UNREACHABLE, "link down");
+    }
+    assertEquals(sink.log.toString(), "refused NO_BACKEND_SERVER");
+    assertTrue(sink.retryAfterMs > 0);
+  }
+
   @Test
   public void disconnectedCallerCancelsTheAttempt() {
     RecordingSink sink = new RecordingSink();
