Leave a weights rollout to other VMs while this VM is partitioned

No engine got new weights meanwhile.

Change: a partitioned VM releases the lease and does not compete for it. Orders are not relayed, since each holder is a single VM. Evidence: VersionRolloutTest.holderWithoutLinksToEnginesLeavesTheRolloutToAnother; without the release the first holder keeps epoch 1 throughout.

--- a/landingtrack/src/main/java/org/landingtrack/internal/weights/VersionRollout.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/weights/VersionRollout.java
@@ -98,6 +98,7 @@
   private final long handoverDelayMs;
   private final ToIntFunction<String> maxConcurrentLoads;
   private final BooleanSupplier isCandidate;
+  private final BooleanSupplier reachesEngines;
   private final ExecutorService reportExecutor;
   private final ExecutorService orderExecutor;
   private final BoundedWorker duty = BoundedWorker.start("weights", 4);
@@ -137,6 +138,8 @@
    * @param maxConcurrentLoads number of loads of a model that can run at the same time without
    *     slowing each other down
    * @param isCandidate whether this VM competes for the lease as soon as engines lag
+   * @param reachesEngines whether this VM's network links to engines work; without them it leaves
+   *     the rollout to other VMs
    */
   public VersionRollout(
       String self,
@@ -146,7 +149,8 @@
       Ticker ticker,
       long handoverDelayMs,
       ToIntFunction<String> maxConcurrentLoads,
-      BooleanSupplier isCandidate) {
+      BooleanSupplier isCandidate,
+      BooleanSupplier reachesEngines) {
     this(
         self,
         lagging,
@@ -156,6 +160,7 @@
         handoverDelayMs,
         maxConcurrentLoads,
         isCandidate,
+        reachesEngines,
         Executors.newFixedThreadPool(
             POOL_THREADS, BoundedWorker.daemonThreadFactory("weights-reports")),
         Executors.newFixedThreadPool(
@@ -172,9 +177,11 @@
       long handoverDelayMs,
       ToIntFunction<String> maxConcurrentLoads,
       BooleanSupplier isCandidate,
+      BooleanSupplier reachesEngines,
       ExecutorService reportExecutor,
       ExecutorService orderExecutor) {
     this.isCandidate = isCandidate;
+    this.reachesEngines = reachesEngines;
     this.self = self;
     this.lagging = lagging;
     this.lease = lease;
@@ -204,6 +211,10 @@
     }
     idleSteps = 0;
     laggingSteps++;
+    if (!reachesEngines.getAsBoolean()) {
+      leaveToOthers();
+      return;
+    }
     if (!mayAcquireLease(current.size())) {
       return;
     }
@@ -237,6 +248,15 @@
         : stalledSteps > STALL_STEPS;
   }
 
+  /** Releases the lease, so that a VM that reaches the engines can acquire it. */
+  private void leaveToOthers() {
+    steps = 0;
+    if (lease.token().isPresent()) {
+      lease.release();
+      log.atInfo().addKeyValue("epoch", lastHeldEpoch).log("lease released, no engine in reach");
+    }
+  }
+
   /** Releases the lease after some steps without lagging engines, and later reads its record. */
   private void releaseWhenIdle() {
     laggingSteps = 0;
--- a/landingtrack/src/test/java/org/landingtrack/internal/weights/VersionRolloutTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/weights/VersionRolloutTest.java
@@ -47,6 +47,7 @@
   private FakeObjectApi api = new FakeObjectApi();
   private FakeEngines engines = new FakeEngines();
   private boolean isCandidate = true;
+  private boolean reachesEngines = true;
   private ManualExecutor reportExecutor = new ManualExecutor();
   private ManualExecutor orderExecutor = new ManualExecutor();
 
@@ -57,6 +58,7 @@
     api = new FakeObjectApi();
     engines = new FakeEngines();
     isCandidate = true;
+    reachesEngines = true;
     reportExecutor = new ManualExecutor();
     orderExecutor = new ManualExecutor();
   }
@@ -115,6 +117,7 @@
         HANDOVER_DELAY_MS,
         model -> 3,
         () -> isCandidate,
+        () -> reachesEngines,
         reportExecutor,
         orderExecutor);
   }
@@ -412,6 +415,25 @@
     return new EngineControl.Report(Map.of("m", version), false, ordersTaken, 0, startedMs);
   }
 
+  @Test
+  public void holderWithoutLinksToEnginesLeavesTheRolloutToAnother() {
+    List<Task> tasks = engines.lagging(2);
+    VersionRollout partitioned = createRollout("a", tasks);
+    runSteps(partitioned, 6);
+    engines.orders.clear();
+    VersionRollout other = createRollout("b", tasks);
+    for (int i = 0; i < 60; i++) {
+      reachesEngines = false;
+      partitioned.step();
+      reachesEngines = true;
+      runSteps(other, 1);
+    }
+    assertTrue(engines.orders.size() >= 6, engines.orders.toString());
+    assertTrue(
+        engines.orders.stream().noneMatch(order -> order.endsWith("epoch 1")),
+        engines.orders.toString());
+  }
+
   /** Each VM that competes for the lease calls the store twice a second while engines lag. */
   @Test
   public void nonCandidatesAcquireLeaseOnlyAfterStall() {
