Check silent links less often

A check opens a connection, which is priced. The silence after which a link is checked and the interval between checks rise from 300 to 500 ms; what requests that wait for a partitioned VM's server lose by it lies within contactMs.

--- a/landingtrack/src/main/java/org/landingtrack/internal/reachability/ServerLinks.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/reachability/ServerLinks.java
@@ -36,13 +36,13 @@
    * Silence of all servers after which a link is checked. Longer than most servers take for their
    * first byte.
    */
-  static final long ALL_SILENT_MS = 300;
+  static final long ALL_SILENT_MS = 500;
 
   /** Silence of a single server after which its link is checked. */
   static final long SERVER_SILENT_MS = 1_000;
 
   /** Interval between two checks while no link is known to be down. */
-  static final long CHECK_INTERVAL_MS = 300;
+  static final long CHECK_INTERVAL_MS = 500;
 
   /** Evidence of a failed link is dropped after this time. */
   private static final long EVIDENCE_MS = 10_000;
