Refuse at once what no server can get, without spending retries

After four servers out of reach a request took a retry from the service's budget for a fifth. It is refused at once instead: nothing was sent, so nothing was retried.

--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
@@ -457,8 +457,10 @@
         case UNREACHABLE -> {
           if (history.recordConnectFailure()) {
             send();
-            return;
+          } else {
+            failWithoutServer("not run: " + why);
           }
+          return;
         }
         case OTHER_SERVER -> {
           sent.backend().markReplaced();
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/RequestRunTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/RequestRunTest.java
@@ -272,6 +272,17 @@
     assertEquals(fixture.serving.fleetEjectedCount(), 0);
   }
 
+  @Test
+  public void unreachableServersUseUpNoRetries() {
+    for (int i = 0; i < 30; i++) {
+      fixture.serve("/safe/x");
+      for (int server = 0; server < 3; server++) {
+        fixture.transport.last().listener.notRun(NotRunReason.UNREACHABLE, "link down");
+      }
+    }
+    assertTrue(fixture.state.retries("plain").hasRetry());
+  }
+
   @Test
   public void requestIsRefusedAsNotRunIfNoServerIsReachable() {
     RecordingSink sink = fixture.serve("/never/x");
