Count a VM as partitioned only after a second without any direct connection

Cause, found when the change was read again: a VM that had lost some links only became partitioned at each second failure and recovered at each connection that opened. It would have relayed what it reaches itself, logged each change, and released the lease of a weights rollout again and again.

Change: two failed links make a partition only if no connection could be opened for a second.

--- a/landingtrack/src/main/java/org/landingtrack/internal/reachability/ServerLinks.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/reachability/ServerLinks.java
@@ -21,14 +21,17 @@
 
 /**
  * Tracks which backend servers this VM reaches over its own network links. A link is down if no
- * connection can be opened to a server that another VM reaches. If several links are down and no
- * connection has been opened since, this VM is partitioned from its servers. Not thread-safe,
+ * connection can be opened to a server that another VM reaches. If several links fail and no
+ * connection could be opened for a while, this VM is partitioned from its servers. Not thread-safe,
  * except for {@link #isPartitioned}.
  */
 public final class ServerLinks {
   /** With a single failed link the server is as likely to be the cause. */
   private static final int MIN_PARTITIONED_LINKS = 2;
 
+  /** A VM that opened a connection within this time has lost some links at most. */
+  static final long MIN_PARTITION_MS = 1_000;
+
   /** Interval between two connection attempts over a link that is down. */
   static final long PROBE_INTERVAL_MS = 500;
 
@@ -52,6 +55,7 @@
   private final Map<String, FailedLink> failedLinks = new HashMap<>();
   private final Map<String, Long> receivedAtMs = new HashMap<>();
   private final Map<String, Long> checkedAtMs = new HashMap<>();
+  private long anyConnectedAtMs = Long.MIN_VALUE / 2;
   private long anyReceivedAtMs = Long.MIN_VALUE / 2;
   private long anyCheckedAtMs = Long.MIN_VALUE / 2;
   private long partitionedSinceMs;
@@ -100,6 +104,7 @@
   /** Records that a connection was opened over the link to a server. */
   public void onConnected(String server) {
     onReceived(server);
+    anyConnectedAtMs = ticker.millis();
     FailedLink failed = failedLinks.remove(server);
     if (failed != null && failed.confirmed) {
       listener.linkUp(server, ticker.millis() - failed.sinceMs);
@@ -133,7 +138,8 @@
       link.confirmed = true;
       listener.linkDown(server, failure);
     }
-    if (!partitioned && failedLinks.size() >= MIN_PARTITIONED_LINKS) {
+    boolean hasNoLink = now - anyConnectedAtMs >= MIN_PARTITION_MS;
+    if (!partitioned && hasNoLink && failedLinks.size() >= MIN_PARTITIONED_LINKS) {
       partitionedSinceMs = now;
       setPartitioned(true);
     }
--- a/landingtrack/src/test/java/org/landingtrack/internal/reachability/ServerLinksTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/reachability/ServerLinksTest.java
@@ -83,6 +83,20 @@
     assertTrue(links.takeProbe("a"), "other links may work again as well");
   }
 
+  @Test
+  public void someFailedLinksAreNoPartitionWhileOthersWork() {
+    for (int i = 0; i < 20; i++) {
+      links.onConnected("c");
+      links.onFailed("a", Failure.SILENT, true);
+      links.onFailed("b", Failure.SILENT, true);
+      assertFalse(links.isPartitioned());
+      ticker.advance(ServerLinks.MIN_PARTITION_MS / 2);
+    }
+    ticker.advance(ServerLinks.MIN_PARTITION_MS / 2);
+    links.onFailed("a", Failure.SILENT, true);
+    assertTrue(links.isPartitioned());
+  }
+
   @Test
   public void linkThatIsDownIsTriedAtIntervals() {
     links.onFailed("a", Failure.SILENT, true);
