--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/RequestRunTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/RequestRunTest.java
@@ -231,7 +231,12 @@
   @DataProvider
   public Object[][] linkFailures() {
     return new Object[][] {
-      {"/never/x", false}, {"/once/x", false}, {"/safe/x", true}, {"/chat/x", true},
+      {"/unsafe/x", false},
+      {"/unresumable/x", false},
+      {"/never/x", false},
+      {"/once/x", false},
+      {"/safe/x", true},
+      {"/chat/x", true},
     };
   }
 
