Log the software version of a server, and which attempts resume a stream

Cause: the lines of an incident could not tell whether a stream went on at a server of another software version, nor whether it was retried within one answer or resumed by its caller. The entry's field version was checked and dropped, the header Resumes was read nowhere. Change: ServerEntry has the software version, CallerRequest the id that a caller names in Resumes. A routed line tells softwareVersion and, for a resumed stream, resumeAfter and resumes; lines of servers tell their version. No decision uses them yet. Result: DecisionLogTest passes with a new case for these fields.

--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/AttemptPlanner.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/AttemptPlanner.java
@@ -380,7 +380,8 @@
   }
 
   /** Returns the facts behind a routing decision, for the log. */
-  RoutingDecision facts(AttemptPlan plan, PartTransfers moves, int sends) {
+  RoutingDecision facts(
+      AttemptPlan plan, PartTransfers moves, int sends, @Nullable String resumeAfter) {
     ServingConfig config = state.config();
     Prompt prompt = request.prompt();
     Selection choice = plan.choice();
@@ -402,7 +403,10 @@
         plan.weights(),
         newestWeights().orElse(0),
         prompt == null ? 0 : state.newestWeightsAgeMs(prompt.model()),
-        config == null ? 0 : config.version());
+        config == null ? 0 : config.version(),
+        backend.entry().softwareVersion(),
+        Objects.requireNonNullElse(resumeAfter, ""),
+        Objects.requireNonNullElse(request.resumes(), ""));
   }
 
   OptionalLong newestWeights() {
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/CallerRequest.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/CallerRequest.java
@@ -28,6 +28,8 @@
  * @param key the API key of the caller, or null
  * @param prompt the description of the prompt, or null for a plain service
  * @param resumeAfter the id of the last event that the caller has of a stream to resume, or null
+ * @param resumes the id of the request that brought the first event of the stream to resume, or
+ *     null if the caller does not state it
  * @param receivedAtMs when the headers were read, on the event loop's clock
  */
 public record CallerRequest(
@@ -41,7 +43,35 @@
     @Nullable String key,
     @Nullable Prompt prompt,
     @Nullable String resumeAfter,
+    @Nullable String resumes,
     long receivedAtMs) {
+  /** Creates a request that states no stream to resume. */
+  public CallerRequest(
+      String id,
+      String method,
+      String host,
+      String target,
+      List<Header> headers,
+      byte[] body,
+      long deadlineMs,
+      @Nullable String key,
+      @Nullable Prompt prompt,
+      @Nullable String resumeAfter,
+      long receivedAtMs) {
+    this(
+        id,
+        method,
+        host,
+        target,
+        headers,
+        body,
+        deadlineMs,
+        key,
+        prompt,
+        resumeAfter,
+        null,
+        receivedAtMs);
+  }
 
   /** Returns the path without the query. */
   public String path() {
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/DecisionLog.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/DecisionLog.java
@@ -48,6 +48,9 @@
    * @param newestWeights the newest known weight version, or 0
    * @param newestWeightsAgeMs the time since that version was published
    * @param configVersion the version of the configuration that the decision is based on
+   * @param softwareVersion the software version of the server
+   * @param resumeAfter the id of the last event that the caller has of a resumed stream, or ""
+   * @param resumes the id of the request with which the caller says that the stream began, or ""
    */
   record RoutingDecision(
       String server,
@@ -66,7 +69,10 @@
       long requiredWeights,
       long newestWeights,
       long newestWeightsAgeMs,
-      long configVersion) {}
+      long configVersion,
+      String softwareVersion,
+      String resumeAfter,
+      String resumes) {}
 
   /** Called when an attempt ends without a response for the caller. */
   void attemptFailed(RequestRun run, String server, String outcome, String why);
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
@@ -167,7 +167,7 @@
     Backend backend = plan.backend();
     PartTransfers moves = currentPlanner.startTransfers(plan);
     int attempts = history.recordAttempt(backend.entry().id());
-    serving.log().routed(this, currentPlanner.facts(plan, moves, attempts));
+    serving.log().routed(this, currentPlanner.facts(plan, moves, attempts, response.lastEventId()));
     Attempt next = new Attempt(request, plan, serving, outcomeHandler);
     attempt = next;
     long leftMs = Math.max(1, deadlineAtMs - loop.millis());
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerEntry.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerEntry.java
@@ -27,6 +27,7 @@
  * @param weightVersions the weights version of each model that it has
  * @param startedMs when this incarnation started, by the server's wall clock; 0 if it does not
  *     report it
+ * @param softwareVersion the version of the software that this incarnation runs
  */
 public record ServerEntry(
     String id,
@@ -37,12 +38,27 @@
     boolean leaving,
     long coldMs,
     Map<String, Long> weightVersions,
-    long startedMs) {
+    long startedMs,
+    String softwareVersion) {
   public ServerEntry {
     weightVersions = Map.copyOf(weightVersions);
   }
 
-  /** Creates an entry of a server that does not report when it started. */
+  /** Creates an entry of a server that does not report its software version. */
+  public ServerEntry(
+      String id,
+      String service,
+      String address,
+      String dataCentre,
+      int slots,
+      boolean leaving,
+      long coldMs,
+      Map<String, Long> weightVersions,
+      long startedMs) {
+    this(id, service, address, dataCentre, slots, leaving, coldMs, weightVersions, startedMs, "");
+  }
+
+  /** Creates an entry of a server that reports neither when it started nor its software version. */
   public ServerEntry(
       String id,
       String service,
@@ -58,7 +74,16 @@
   /** Returns this entry with another start time, as that of another incarnation. */
   ServerEntry withStartedMs(long newStartedMs) {
     return new ServerEntry(
-        id, service, address, dataCentre, slots, leaving, coldMs, weightVersions, newStartedMs);
+        id,
+        service,
+        address,
+        dataCentre,
+        slots,
+        leaving,
+        coldMs,
+        weightVersions,
+        newStartedMs,
+        softwareVersion);
   }
 
   /**
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/StructuredDecisionLog.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/StructuredDecisionLog.java
@@ -48,8 +48,17 @@
 
   @Override
   public void routed(RequestRun run, RoutingDecision decision) {
-    requestEvent(run, Level.INFO, decision.ageMs())
-        .addKeyValue("server", decision.server())
+    LoggingEventBuilder event =
+        requestEvent(run, Level.INFO, decision.ageMs())
+            .addKeyValue("server", decision.server())
+            .addKeyValue("softwareVersion", decision.softwareVersion());
+    if (!decision.resumeAfter().isEmpty()) {
+      event =
+          event
+              .addKeyValue("resumeAfter", decision.resumeAfter())
+              .addKeyValue("resumes", decision.resumes());
+    }
+    event
         .addKeyValue("attempt", decision.attempt())
         .addKeyValue("candidates", decision.candidates())
         .addKeyValue("costMs", Math.round(decision.costMs()))
@@ -118,6 +127,7 @@
         .addKeyValue("server", entry.id())
         .addKeyValue("service", entry.service())
         .addKeyValue("address", entry.address())
+        .addKeyValue("softwareVersion", entry.softwareVersion())
         .addKeyValue("weights", entry.weightVersions())
         .addKeyValue("revision", revision)
         .log("server " + change);
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/DecisionLogTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/DecisionLogTest.java
@@ -80,6 +80,26 @@
     }
   }
 
+  @Test
+  public void aRoutedLineTellsTheSoftwareVersionAndWhatIsResumed() throws Exception {
+    try (CapturedLogLines captured = new CapturedLogLines()) {
+      ServingFixture world = new ServingFixture();
+      world.serve("/chat/x");
+      world.transport.last().startStream();
+      world.transport.last().event("7");
+      world.transport.last().listener.outcomeUnknown("reset");
+      List<JsonNode> routed = new ArrayList<>();
+      for (JsonNode line : parse(captured.lines())) {
+        if (line.path("event").asText().equals("routed")) {
+          routed.add(line);
+        }
+      }
+      assertTrue(routed.get(0).has("softwareVersion"));
+      assertTrue(!routed.get(0).has("resumeAfter"));
+      assertEquals(routed.get(1).path("resumeAfter").asText(), "7");
+    }
+  }
+
   /** Retries of a caller have different ids, but the log lines show that they are one request. */
   @Test
   public void anAttemptInDoubtIsLoggedWithTheRequestsDigest() throws Exception {
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/ServingFixture.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/ServingFixture.java
@@ -109,7 +109,8 @@
         true,
         entry.coldMs(),
         entry.weightVersions(),
-        entry.startedMs());
+        entry.startedMs(),
+        entry.softwareVersion());
   }
 
   static ServingConfig config(long version, String plainService) {
