--- /dev/null
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/StreamVersionTest.java
@@ -0,0 +1,100 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.serving;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.List;
+import java.util.Map;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests at which servers a VM continues a stream that it began. */
+public final class StreamVersionTest {
+  private ServingFixture fixture = new ServingFixture();
+
+  @BeforeMethod
+  public void newFixture() {
+    fixture = new ServingFixture();
+  }
+
+  private static ServerEntry engine(String id, String softwareVersion) {
+    return new ServerEntry(
+        id,
+        "engines",
+        "10.0.0.1:" + (80 + id.charAt(1)),
+        "dc-1",
+        8,
+        false,
+        0,
+        Map.of(ServingFixture.MODEL, 1L),
+        0,
+        softwareVersion);
+  }
+
+  private String beginStream(RecordingSink sink) {
+    fixture.serving.serve(fixture.request("/chat/x", ServingFixture.KEY), sink);
+    fixture.transport.last().startStream();
+    fixture.transport.last().event("1");
+    return fixture.transport.last().call.serverId();
+  }
+
+  private void list(ServerEntry... engines) {
+    fixture.book.replaceAll(List.of(engines), 2);
+  }
+
+  /** The software versions of four servers. */
+  @DataProvider
+  public Object[][] versionsOfTwoServers() {
+    return new Object[][] {{"v1", "v2", "v1", "v2"}, {"v2", "v1", "v2", "v1"}};
+  }
+
+  @Test(dataProvider = "versionsOfTwoServers")
+  public void streamWhoseServerBreaksGoesOnAtItsSoftwareVersion(
+      String first, String second, String third, String fourth) {
+    List<ServerEntry> engines =
+        List.of(
+            engine("e1", first), engine("e2", second), engine("e3", third), engine("e4", fourth));
+    for (int i = 0; i < engines.size(); i++) {
+      newFixture();
+      list(engines.toArray(new ServerEntry[0]));
+      String began = beginStream(new RecordingSink());
+      fixture.transport.last().listener.outcomeUnknown("reset");
+      String continued = fixture.transport.last().call.serverId();
+      assertEquals(versionOf(engines, continued), versionOf(engines, began));
+    }
+  }
+
+  private static String versionOf(List<ServerEntry> engines, String id) {
+    for (ServerEntry engine : engines) {
+      if (engine.id().equals(id)) {
+        return engine.softwareVersion();
+      }
+    }
+    throw new AssertionError("no server " + id);
+  }
+
+  @Test
+  public void streamWithoutAnotherServerOfItsSoftwareVersionIsAborted() {
+    list(engine("e1", "v1"), engine("e2", "v2"));
+    RecordingSink sink = new RecordingSink();
+    beginStream(sink);
+    fixture.transport.last().listener.outcomeUnknown("reset");
+    assertEquals(fixture.transport.sends.size(), 1);
+    assertEquals(sink.log.toString(), "stream 200; event id: 1; abort");
+  }
+}
