Continue a stream within one answer only at its software version

Seen by callers: when the server of a stream ended, the rest of the answer came from any other server of the service, also of another software version. Cause: the planner chose among all servers that had not been tried; nothing in it knew software versions. Change: from the head of a stream on, servers of other versions are ineligible for the request (reason 'other software'); without one of its version the stream is aborted.

--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/Attempt.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/Attempt.java
@@ -54,7 +54,7 @@
     void noticeReceived(Attempt sent, ServerNotice notice);
 
     /** The head of a streamed response arrived. */
-    void streamStarted(ResponseHead head);
+    void streamStarted(Attempt sent, ResponseHead head);
 
     /** An event of a streamed response arrived. */
     void event(StreamEvent event);
@@ -259,7 +259,7 @@
     }
     if (received.isStream()) {
       plan.backend().succeeded(loop.millis());
-      outcomeListener.streamStarted(received);
+      outcomeListener.streamStarted(this, received);
     }
   }
 
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/AttemptPlanner.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/AttemptPlanner.java
@@ -56,6 +56,7 @@
   private final BrittleServers brittle;
   private final BackendHealth health;
   private final AllowedRegions homes;
+  private @Nullable String softwareVersion;
 
   /** The servers that the last plan skipped, by reason. */
   private final Map<IneligibleReason, List<Backend>> skippedServers =
@@ -119,6 +120,11 @@
             : route.allowedRegions().intersect(team.allowedRegions());
   }
 
+  /** Restricts all further attempts to servers of one software version. */
+  void requireSoftware(String version) {
+    softwareVersion = version;
+  }
+
   /** Plans the next attempt; returns null if no server is eligible. */
   @Nullable AttemptPlan plan(AttemptHistory history) {
     ServingConfig config = state.config();
@@ -128,7 +134,7 @@
     }
     skippedServers.clear();
     Eligibility.Conditions terms =
-        new Eligibility.Conditions(history.triedServerIds(), homes, info);
+        new Eligibility.Conditions(history.triedServerIds(), homes, info, softwareVersion);
     List<Backend> usable =
         state
             .servers()
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/Eligibility.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/Eligibility.java
@@ -39,8 +39,19 @@
    *
    * @param tried ids of servers to which the request was already sent
    * @param allowedRegions regions in which the request may run
+   * @param softwareVersion the software version that began the stream to continue, or null if the
+   *     request begins a stream or has none
    */
-  record Conditions(Set<String> tried, AllowedRegions allowedRegions, ServiceInfo service) {}
+  record Conditions(
+      Set<String> tried,
+      AllowedRegions allowedRegions,
+      ServiceInfo service,
+      @Nullable String softwareVersion) {
+    /** Returns true if a server has the software version that the request needs. */
+    boolean allowsSoftware(ServerEntry entry) {
+      return softwareVersion == null || softwareVersion.equals(entry.softwareVersion());
+    }
+  }
 
   /**
    * Creates the rules.
@@ -71,6 +82,9 @@
     if (terms.tried().contains(entry.id())) {
       return IneligibleReason.TRIED;
     }
+    if (!terms.allowsSoftware(entry)) {
+      return IneligibleReason.OTHER_SOFTWARE;
+    }
     if (ended.test(backend)) {
       return IneligibleReason.ENDED;
     }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/IneligibleReason.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/IneligibleReason.java
@@ -21,6 +21,8 @@
 enum IneligibleReason {
   /** The request was already sent to it. */
   TRIED,
+  /** Its software version is not the one that began the stream. */
+  OTHER_SOFTWARE,
   /** Another VM found a later incarnation at its address. */
   ENDED,
   /** Its data centre is evacuated. */
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
@@ -492,7 +492,10 @@
     }
 
     @Override
-    public void streamStarted(ResponseHead head) {
+    public void streamStarted(Attempt sent, ResponseHead head) {
+      if (planner != null) {
+        planner.requireSoftware(sent.backend().entry().softwareVersion());
+      }
       response.startStream(head);
     }
 
