Continue a resumed stream only at the software version that began it

Cause: Last-Event-Id was passed on and Resumes read nowhere; a VM did not know what another VM had begun. Change: a VM remembers at which service and version it began a stream (StreamOrigins). While a service has, or within 30 s had, several versions, it announces each stream to three VMs before its head is sent, chosen by rendezvous hashing, and those begun before when the service becomes mixed. A VM that a caller resumes at looks there, asks up to six VMs within 150 ms, and refuses with STREAM_NOT_RESUMABLE (503, not run, no Retry-After) if no VM knows, or if no server of the version is left. While a service has one version nothing is sent for it: then that version began all its streams. That is concluded only with 30 s of history (own, taken over from another VM at the start, or none before the fleet's first start: setting firstStart) and with contact to the store or a VM. A version that has just appeared begins streams after 0.5 s, so that all VMs can know of it. Gossip messages have one field more, for mixed services; the releases before ignore it.

--- a/landingtrack/src/main/java/org/landingtrack/ErrorKind.java
+++ b/landingtrack/src/main/java/org/landingtrack/ErrorKind.java
@@ -42,6 +42,11 @@
    * Server processes ended while they ran this request of this caller; no further server gets it.
    */
   QUARANTINED(503, "UNAVAILABLE", RunState.NOT_RUN, 3_600),
+  /**
+   * The stream to resume can't go on: the software version that began it is not known or has no
+   * server. The caller has to start over.
+   */
+  STREAM_NOT_RESUMABLE(503, "ABORTED", RunState.NOT_RUN, 0),
   STOPPING(503, "UNAVAILABLE", RunState.NOT_RUN, 1),
   PLATFORM_UNAVAILABLE(503, "UNAVAILABLE", RunState.NOT_RUN, 5),
   NOT_READY(503, "UNAVAILABLE", RunState.NOT_RUN, 2),
--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/Fleet.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/Fleet.java
@@ -231,6 +231,30 @@
     return true;
   }
 
+  /**
+   * Returns the addresses of the other recently active VMs with the highest rendezvous weights for
+   * a key, highest first.
+   */
+  List<String> highestWeights(long key, int count, long nowMs) {
+    List<KnownVm> best = new ArrayList<>();
+    for (KnownVm entry : known.values()) {
+      boolean isActive = nowMs - entry.activeAtMs <= MAX_SIGHTING_AGE_MS && !entry.isSameVm(self);
+      if (!isActive) {
+        continue;
+      }
+      long weight = Hashes.combine(key, entry.hash);
+      int position = best.size();
+      while (position > 0 && weight > Hashes.combine(key, best.get(position - 1).hash)) {
+        position--;
+      }
+      best.add(position, entry);
+      if (best.size() > count) {
+        best.remove(count);
+      }
+    }
+    return best.stream().map(entry -> entry.vm.address()).toList();
+  }
+
   private List<Group> findGroups(long nowMs) {
     Map<String, List<KnownVm>> byDataCentre = new TreeMap<>();
     for (KnownVm entry : known.values()) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/GossipCodec.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/GossipCodec.java
@@ -25,6 +25,7 @@
 import org.landingtrack.internal.loads.PartStoreReport.Change;
 import org.landingtrack.internal.quarantine.RequestDigest;
 import org.landingtrack.internal.quarantine.SuspectReport;
+import org.landingtrack.internal.streams.MixedServiceReport;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
@@ -41,7 +42,7 @@
   /** Largest number of entries in a list; the largest datagram has room for fewer. */
   private static final int MAX_ENTRIES = 10_000;
 
-  private static final int FIELDS = 11;
+  private static final int FIELDS = 12;
 
   /** Messages of older releases have fewer fields; further fields of newer ones are ignored. */
   private static final int MIN_FIELDS = 8;
@@ -49,6 +50,7 @@
   private static final int LIMITS_FIELD = 9;
   private static final int BACKOFFS_FIELD = 10;
   private static final int TALLIES_FIELD = 11;
+  private static final int MIXED_SERVICES_FIELD = 12;
 
   private static final int LOAD_FIELDS = 6;
   private static final int PREVIOUS_LOAD_FIELDS = 5;
@@ -108,6 +110,12 @@
       for (TallyReport report : message.tallies()) {
         pack(packer, report);
       }
+      packer.packArrayHeader(message.mixedServices().size());
+      for (MixedServiceReport mixed : message.mixedServices()) {
+        packer.packArrayHeader(2);
+        packer.packString(mixed.service());
+        packer.packLong(mixed.remainingMs());
+      }
       return packer.toByteArray();
     }
   }
@@ -201,7 +209,8 @@
           suspects(unpacker),
           fields >= LIMITS_FIELD ? limits(unpacker) : List.of(),
           fields >= BACKOFFS_FIELD ? backoffs(unpacker) : List.of(),
-          fields >= TALLIES_FIELD ? tallies(unpacker) : List.of());
+          fields >= TALLIES_FIELD ? tallies(unpacker) : List.of(),
+          fields >= MIXED_SERVICES_FIELD ? mixedServices(unpacker) : List.of());
     } catch (MessagePackException | IllegalArgumentException e) {
       throw new IOException("invalid gossip message: " + e, e);
     }
@@ -337,6 +346,16 @@
     return list;
   }
 
+  private static List<MixedServiceReport> mixedServices(MessageUnpacker unpacker)
+      throws IOException {
+    List<MixedServiceReport> list = new ArrayList<>();
+    for (int remaining = size(unpacker); remaining > 0; remaining--) {
+      checkFieldCount(unpacker, 2);
+      list.add(new MixedServiceReport(unpacker.unpackString(), unpacker.unpackLong()));
+    }
+    return list;
+  }
+
   private static Tally tally(MessageUnpacker unpacker) throws IOException {
     int fields = unpacker.unpackArrayHeader();
     if (fields < 1 || fields > 1 + MAX_COUNTS) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/GossipExchange.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/GossipExchange.java
@@ -34,6 +34,7 @@
 import org.landingtrack.internal.loads.GossipMessage.Sighting;
 import org.landingtrack.internal.loads.PeerLoads.DueMessage;
 import org.landingtrack.internal.quarantine.Quarantine;
+import org.landingtrack.internal.streams.StreamOrigins;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -71,6 +72,7 @@
   private final ReportHandler<LimitReport> limits;
   private final ReportHandler<BackoffReport> backoffs;
   private final List<FleetTallies> tallies;
+  private final StreamOrigins streams;
   private final Executor loop;
   private final DatagramSocket socket;
 
@@ -132,6 +134,7 @@
    * @param limits rate limits that servers stated
    * @param serverBackoffs servers in backoff
    * @param tallies counters that VMs share, one object for each topic
+   * @param streams origins of streams, whose messages arrive at the same socket
    * @param loop the event loop; runs everything that uses the other parameters
    * @throws IOException if the address cannot be bound
    */
@@ -144,6 +147,7 @@
       ReportHandler<LimitReport> limits,
       ReportHandler<BackoffReport> serverBackoffs,
       List<FleetTallies> tallies,
+      StreamOrigins streams,
       Executor loop)
       throws IOException {
     this.feeds = feeds;
@@ -151,6 +155,7 @@
     this.limits = limits;
     this.backoffs = serverBackoffs;
     this.tallies = List.copyOf(tallies);
+    this.streams = streams;
     this.peers = peers;
     this.own = own;
     this.stores = stores;
@@ -170,8 +175,7 @@
       DatagramPacket packet = new DatagramPacket(buffer, buffer.length);
       try {
         socket.receive(packet);
-        GossipMessage message = GossipCodec.decode(buffer, packet.getLength());
-        loop.execute(() -> apply(message));
+        loop.execute(decode(buffer, packet.getLength()));
       } catch (IOException e) {
         if (!closed) {
           log.debug("Cannot receive or decode a gossip message: {}.", e.toString());
@@ -180,12 +184,21 @@
     }
   }
 
+  private Runnable decode(byte[] bytes, int length) throws IOException {
+    if (StreamOrigins.isStreamMessage(bytes, length)) {
+      return streams.decode(bytes, length);
+    }
+    GossipMessage message = GossipCodec.decode(bytes, length);
+    return () -> apply(message);
+  }
+
   private void apply(GossipMessage message) {
     boolean isLatest = peers.receive(message);
     message.stores().forEach(stores::receiveReport);
     quarantine.receive(message.suspects());
     limits.receiveReports(message.limits());
     backoffs.receiveReports(message.backoffs());
+    streams.versions().receiveReports(message.mixedServices());
     if (isLatest) {
       feeds.receiveReports(message.sender().address(), message.feeds());
       FleetTallies.receive(message, tallies);
@@ -227,7 +240,8 @@
               quarantine.currentReports(),
               limits.reportsToSend(),
               backoffs.reportsToSend(),
-              FleetTallies.createReports(kind, tallies)));
+              FleetTallies.createReports(kind, tallies),
+              streams.versions().reportsToSend()));
     } catch (IOException e) {
       throw new IllegalStateException("the gossip message of this round cannot be encoded", e);
     }
@@ -254,11 +268,12 @@
         + load.limitedSends() * LIMITED_WEIGHT;
   }
 
-  private void send(String receiver, byte[] bytes) {
+  /** Sends a datagram to a VM. Has to be called on the event loop. */
+  public void send(String receiver, byte[] bytes) {
     try {
       socket.send(new DatagramPacket(bytes, bytes.length, Addresses.parse(receiver)));
     } catch (IOException e) {
-      log.debug("Cannot send the gossip message to {}: {}.", receiver, e.toString());
+      log.debug("Cannot send the message to {}: {}.", receiver, e.toString());
     }
   }
 
--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/GossipMessage.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/GossipMessage.java
@@ -17,6 +17,7 @@
 
 import java.util.List;
 import org.landingtrack.internal.quarantine.SuspectReport;
+import org.landingtrack.internal.streams.MixedServiceReport;
 
 /**
  * Gossip message from one VM to another in one datagram, encoded as MessagePack arrays without
@@ -33,6 +34,7 @@
  * @param limits rate limits that servers stated recently
  * @param backoffs recent backoffs that servers asked for
  * @param tallies counters that VMs share
+ * @param mixedServices services whose servers have or had several software versions
  */
 public record GossipMessage(
     Vm sender,
@@ -45,8 +47,10 @@
     List<SuspectReport> suspects,
     List<LimitReport> limits,
     List<BackoffReport> backoffs,
-    List<TallyReport> tallies) {
+    List<TallyReport> tallies,
+    List<MixedServiceReport> mixedServices) {
   public GossipMessage {
+    mixedServices = List.copyOf(mixedServices);
     tallies = List.copyOf(tallies);
     backoffs = List.copyOf(backoffs);
     limits = List.copyOf(limits);
@@ -58,7 +62,8 @@
   }
 
   /**
-   * Creates a message without Object API progress, suspects, server limits, backoffs and tallies.
+   * Creates a message without Object API progress, suspects, server limits, backoffs, tallies and
+   * mixed services.
    */
   public GossipMessage(
       Vm sender,
@@ -69,7 +74,7 @@
       List<PartStoreReport> stores) {
     this(
         sender, sequence, kind, seen, loads, stores, List.of(), List.of(), List.of(), List.of(),
-        List.of());
+        List.of(), List.of());
   }
 
   /** Says whose requests a message counts. */
--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/PeerLoads.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/PeerLoads.java
@@ -102,6 +102,7 @@
   private final long createdAtMs;
   private int maxKnownVms = 1;
   private boolean receivedAnyMessage;
+  private long lastReceivedAtMs;
 
   private static final class Peer {
     private final Vm vm;
@@ -167,6 +168,7 @@
     peer.sequence = message.sequence();
     peer.receivedAtMs = now;
     receivedAnyMessage = true;
+    lastReceivedAtMs = now;
     peer.kind = message.kind();
     peer.loads = message.loads();
     fleet.recordMessage(message.sender(), now);
@@ -320,6 +322,19 @@
     return fleet.hasHighestWeight(key, ticker.millis());
   }
 
+  /**
+   * Returns the addresses of the other VMs that are responsible for a key, by rendezvous hashing
+   * over the recently active VMs; the most responsible first.
+   */
+  public List<String> responsibleVms(long key, int count) {
+    return fleet.highestWeights(key, count, ticker.millis());
+  }
+
+  /** Returns true if a message of any VM arrived within a time, in milliseconds. */
+  public boolean receivedWithin(long ms) {
+    return receivedAnyMessage && ticker.millis() - lastReceivedAtMs <= ms;
+  }
+
   /** Returns the loads for a message of a kind, and records the load that this VM reports. */
   List<Load> loadsFor(Kind kind, List<Load> own) {
     if (kind == Kind.OWN) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/AttemptPlanner.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/AttemptPlanner.java
@@ -29,7 +29,9 @@
 import org.landingtrack.internal.serving.BackendTransport.BackendCall;
 import org.landingtrack.internal.serving.DecisionLog.RoutingDecision;
 import org.landingtrack.internal.serving.PartFetchPlanner.FetchPlan;
+import org.landingtrack.internal.serving.Route.RetryMode;
 import org.landingtrack.internal.serving.ServerSelector.Selection;
+import org.landingtrack.internal.streams.ServiceVersions;
 
 /**
  * Plans the attempts of one request: the backend server, the weight version that it must have, the
@@ -56,6 +58,7 @@
   private final BrittleServers brittle;
   private final BackendHealth health;
   private final AllowedRegions homes;
+  private boolean continuesStream;
   private @Nullable String softwareVersion;
 
   /** The servers that the last plan skipped, by reason. */
@@ -120,11 +123,32 @@
             : route.allowedRegions().intersect(team.allowedRegions());
   }
 
-  /** Restricts all further attempts to servers of one software version. */
-  void requireSoftware(String version) {
+  /**
+   * Restricts all further attempts to servers of the software version that began the stream; null
+   * if it is not known, so that no server is eligible.
+   */
+  void continueStreamAt(@Nullable String version) {
+    continuesStream = true;
     softwareVersion = version;
   }
 
+  /**
+   * Returns true if the request continues a stream, and no server that may still get requests has
+   * the software version that began it.
+   */
+  boolean lacksServerForStream() {
+    return continuesStream
+        && state
+            .servers()
+            .usable(
+                service,
+                backend ->
+                    softwareVersion != null
+                        && softwareVersion.equals(backend.entry().softwareVersion()),
+                false)
+            .isEmpty();
+  }
+
   /** Plans the next attempt; returns null if no server is eligible. */
   @Nullable AttemptPlan plan(AttemptHistory history) {
     ServingConfig config = state.config();
@@ -134,19 +158,21 @@
     }
     skippedServers.clear();
     Eligibility.Conditions terms =
-        new Eligibility.Conditions(history.triedServerIds(), homes, info, softwareVersion);
+        new Eligibility.Conditions(
+            history.triedServerIds(), homes, info, continuesStream, softwareVersion);
     List<Backend> usable =
         state
             .servers()
             .usable(
                 service, backend -> isEligible(backend, terms), !history.hasFurtherAttempt(route));
-    List<Backend> recent = withRecentWeights(usable, oldestWeights());
-    boolean tryNewest = recent.isEmpty() && !usable.isEmpty();
+    List<Backend> settled = withSettledSoftware(usable);
+    List<Backend> recent = withRecentWeights(settled, oldestWeights());
+    boolean tryNewest = recent.isEmpty() && !settled.isEmpty();
     Backend probed = probeTarget(history, terms);
     Map<Long, PartFetchPlanner> sources = new HashMap<>();
     Selection choice =
         ServerSelector.select(
-            probed != null ? List.of(probed) : tryNewest ? usable : recent,
+            probed != null ? List.of(probed) : tryNewest ? settled : recent,
             query(info, weights -> sources(sources, weights, info)));
     if (choice == null) {
       return null;
@@ -164,6 +190,25 @@
         probed != null);
   }
 
+  /**
+   * Returns the servers at which a stream may begin: not those of a software version that has just
+   * appeared, unless there are no others. Until all VMs know of it, one of them might assume that
+   * the stream began at the only version that it knows.
+   */
+  private List<Backend> withSettledSoftware(List<Backend> servers) {
+    if (route.retryMode() != RetryMode.RESUME || continuesStream) {
+      return servers;
+    }
+    ServiceVersions versions = state.servers().versions();
+    List<Backend> settled = new ArrayList<>();
+    for (Backend backend : servers) {
+      if (versions.isSettled(service, backend.entry().softwareVersion())) {
+        settled.add(backend);
+      }
+    }
+    return settled.isEmpty() ? servers : settled;
+  }
+
   /** Returns the ejected server that the request probes, or null if it probes none. */
   private @Nullable Backend probeTarget(AttemptHistory history, Eligibility.Conditions terms) {
     if (!health.mayCarryProbe(request, route, service, history)) {
@@ -410,7 +455,7 @@
         newestWeights().orElse(0),
         prompt == null ? 0 : state.newestWeightsAgeMs(prompt.model()),
         config == null ? 0 : config.version(),
-        backend.entry().softwareVersion(),
+        Objects.requireNonNullElse(backend.entry().softwareVersion(), ""),
         Objects.requireNonNullElse(resumeAfter, ""),
         Objects.requireNonNullElse(request.resumes(), ""));
   }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/Eligibility.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/Eligibility.java
@@ -39,17 +39,19 @@
    *
    * @param tried ids of servers to which the request was already sent
    * @param allowedRegions regions in which the request may run
-   * @param softwareVersion the software version that began the stream to continue, or null if the
-   *     request begins a stream or has none
+   * @param continuesStream true if the request continues a stream
+   * @param softwareVersion the software version that began that stream, or null if it is not known
    */
   record Conditions(
       Set<String> tried,
       AllowedRegions allowedRegions,
       ServiceInfo service,
+      boolean continuesStream,
       @Nullable String softwareVersion) {
     /** Returns true if a server has the software version that the request needs. */
     boolean allowsSoftware(ServerEntry entry) {
-      return softwareVersion == null || softwareVersion.equals(entry.softwareVersion());
+      boolean isSame = softwareVersion != null && softwareVersion.equals(entry.softwareVersion());
+      return !continuesStream || isSame;
     }
   }
 
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
@@ -15,6 +15,7 @@
  */
 package org.landingtrack.internal.serving;
 
+import java.util.Objects;
 import org.jspecify.annotations.Nullable;
 import org.landingtrack.ErrorKind;
 import org.landingtrack.internal.base.Hashes;
@@ -25,6 +26,8 @@
 import org.landingtrack.internal.serving.BackendTransport.ResponseHead;
 import org.landingtrack.internal.serving.BackendTransport.StreamEvent;
 import org.landingtrack.internal.serving.Route.RetryMode;
+import org.landingtrack.internal.streams.StreamKey;
+import org.landingtrack.internal.streams.StreamOrigin;
 
 /**
  * Processes one request of a caller, from route lookup to the end of its response. A request is
@@ -48,6 +51,7 @@
   private @Nullable Route route;
   private @Nullable Team team;
   private String service = "";
+  private @Nullable StreamKey streamKey;
   private long deadlineAtMs;
   private EventLoop.@Nullable Timer deadlineTimer;
   private final OutcomeHandler outcomeHandler = new OutcomeHandler();
@@ -114,7 +118,48 @@
       }
     }
     service = matched.serviceFor(Hashes.placement(request.splitKey()));
-    planner = new AttemptPlanner(serving, request, matched, team, service);
+    if (matched.streaming() && request.resumeAfter() != null) {
+      String firstRequestId = Objects.requireNonNullElse(request.resumes(), "");
+      streamKey = StreamKey.of(teamName(), firstRequestId);
+      serving.state().streams().find(streamKey, service, origin -> resume(matched, origin));
+      return;
+    }
+    streamKey = StreamKey.of(teamName(), request.id());
+    begin(matched, null);
+  }
+
+  /** Continues a stream that the caller resumes, at the service and version that began it. */
+  private void resume(Route matched, @Nullable StreamOrigin origin) {
+    if (done) {
+      return;
+    }
+    if (origin == null) {
+      refuse(
+          ErrorKind.STREAM_NOT_RESUMABLE,
+          "the software version that began the stream of request '"
+              + request.resumes()
+              + "' is not known",
+          0);
+      return;
+    }
+    if (!matched.hasTarget(origin.service())) {
+      refuse(
+          ErrorKind.STREAM_NOT_RESUMABLE,
+          "the stream began at service " + origin.service() + ", which the route no longer has",
+          0);
+      return;
+    }
+    service = origin.service();
+    begin(matched, origin);
+  }
+
+  /** Sends the request, or queues or refuses it. */
+  private void begin(Route matched, @Nullable StreamOrigin origin) {
+    AttemptPlanner newPlanner = new AttemptPlanner(serving, request, matched, team, service);
+    planner = newPlanner;
+    if (origin != null) {
+      newPlanner.continueStreamAt(origin.softwareVersion());
+    }
     serving.state().retries(service).recordRequest(serving.options().retryPercent());
     long timeoutMs = matched.timeoutMs();
     if (request.deadlineMs() > 0) {
@@ -340,6 +385,8 @@
       abortStream(why);
     } else if (history.inDoubt() && route != null && route.retryMode() == RetryMode.NEVER) {
       refuse(ErrorKind.OUTCOME_UNKNOWN, why, 0);
+    } else if (planner != null && planner.lacksServerForStream()) {
+      refuse(ErrorKind.STREAM_NOT_RESUMABLE, why, 0);
     } else {
       refuse(ErrorKind.NO_BACKEND_SERVER, why, retryAfterMs);
     }
@@ -480,6 +527,18 @@
       }
     }
 
+    /** Records at which software version the stream goes on from now. */
+    private void recordStreamStart(ServerEntry server) {
+      String version = server.softwareVersion();
+      if (planner != null) {
+        planner.continueStreamAt(version);
+      }
+      boolean isResumable = route != null && route.retryMode() == RetryMode.RESUME;
+      if (isResumable && version != null && streamKey != null) {
+        serving.state().streams().recordStart(streamKey, new StreamOrigin(service, version));
+      }
+    }
+
     private void recordFailure(Attempt sent, String why) {
       if (sent.backend().failed(loop.millis())) {
         serving.log().ejected(sent.serverId(), why);
@@ -493,9 +552,7 @@
 
     @Override
     public void streamStarted(Attempt sent, ResponseHead head) {
-      if (planner != null) {
-        planner.requireSoftware(sent.backend().entry().softwareVersion());
-      }
+      recordStreamStart(sent.backend().entry());
       response.startStream(head);
     }
 
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/Route.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/Route.java
@@ -94,6 +94,16 @@
     RESUME
   }
 
+  /** Returns true if a service gets a share of the route's requests. */
+  public boolean hasTarget(String service) {
+    for (Target target : targets) {
+      if (target.service().equals(service) && (target.weight() > 0 || targets.size() == 1)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Returns the service for a request's hash; the same hash always gives the same service. */
   public String serviceFor(long hash) {
     if (targets.size() == 1) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerEntry.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerEntry.java
@@ -16,6 +16,7 @@
 package org.landingtrack.internal.serving;
 
 import java.util.Map;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A backend server as registered in the platform's store.
@@ -27,7 +28,8 @@
  * @param weightVersions the weights version of each model that it has
  * @param startedMs when this incarnation started, by the server's wall clock; 0 if it does not
  *     report it
- * @param softwareVersion the version of the software that this incarnation runs
+ * @param softwareVersion the version of the software that this incarnation runs, or null if it is
+ *     not known
  */
 public record ServerEntry(
     String id,
@@ -39,7 +41,7 @@
     long coldMs,
     Map<String, Long> weightVersions,
     long startedMs,
-    String softwareVersion) {
+    @Nullable String softwareVersion) {
   public ServerEntry {
     weightVersions = Map.copyOf(weightVersions);
   }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerRegistry.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerRegistry.java
@@ -31,6 +31,7 @@
 import org.landingtrack.internal.base.Hashes;
 import org.landingtrack.internal.health.SharedHealth.ServiceIncarnations;
 import org.landingtrack.internal.loads.GossipMessage.Load;
+import org.landingtrack.internal.streams.ServiceVersions;
 
 /**
  * Keeps the backend servers that this VM knows from their entries in the platform's store.
@@ -68,6 +69,7 @@
   private LongPredicate ejectedByFleet = start -> false;
   private ToLongFunction<String> coldStartMs = service -> 0;
   private boolean isLoaded;
+  private final ServiceVersions versions;
 
   /**
    * Creates an empty registry.
@@ -80,6 +82,7 @@
     this.log = log;
     this.lastResortMs = lastResortMs;
     this.outages = new StoreOutages(loop, expiryGraceMs);
+    this.versions = new ServiceVersions(loop);
   }
 
   /** Sets the listener for incarnations that ended because a later one became known. */
@@ -208,6 +211,7 @@
    * last-resort requests.
    */
   public void replaceAll(Collection<ServerEntry> entries, long revision) {
+    boolean isInitial = !isLoaded;
     isLoaded = true;
     long listedAtMs = loop.millis();
     outages.listed();
@@ -218,6 +222,7 @@
         continue;
       }
       applyEntry(entry, revision, listedAtMs - lastResortMs, true);
+      recordVersion(entry, isInitial);
     }
     for (String id : List.copyOf(backends.keySet())) {
       if (!listed.contains(id)) {
@@ -234,6 +239,27 @@
   /** Applies a new or changed entry; {@code sinceMs} is the earliest time of the change. */
   public void put(ServerEntry entry, long revision, long sinceMs) {
     applyEntry(entry, revision, sinceMs, false);
+    recordVersion(entry, false);
+  }
+
+  private void recordVersion(ServerEntry entry, boolean isInitial) {
+    if (entry.softwareVersion() != null) {
+      versions.recordListed(entry.service(), entry.softwareVersion(), isInitial);
+    }
+  }
+
+  /** Returns the software versions of the services. */
+  public ServiceVersions versions() {
+    return versions;
+  }
+
+  /** Records the versions of all servers that are listed; call this about once a second. */
+  public void refreshVersions() {
+    for (Backend backend : backends.values()) {
+      if (!backend.isRemoved()) {
+        recordVersion(backend.entry(), false);
+      }
+    }
   }
 
   private void applyEntry(ServerEntry entry, long revision, long sinceMs, boolean isListed) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServingState.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServingState.java
@@ -33,6 +33,7 @@
 import org.landingtrack.internal.loads.TallyTopic;
 import org.landingtrack.internal.quarantine.Quarantine;
 import org.landingtrack.internal.retry.FleetRetryBudget;
+import org.landingtrack.internal.streams.StreamOrigins;
 
 /**
  * The state from which this VM serves requests: the configuration in force, the backend servers,
@@ -56,6 +57,7 @@
   private final Evacuations evacuations;
   private final ServerLimits serverLimits;
   private final SharedBackoffs backoffs;
+  private final StreamOrigins streams;
   private final DecisionLog log;
   private final Map<String, List<PublishedWeights>> weights = new HashMap<>();
   private final Map<String, ServiceRetryLimiter> retries = new HashMap<>();
@@ -104,6 +106,7 @@
     this.maxSavedRetries = maxSavedRetries;
     this.serverLimits = new ServerLimits(loop);
     this.backoffs = new SharedBackoffs(loop, Hashes.placement(peerLoads.address()));
+    this.streams = new StreamOrigins(loop, servers.versions(), peerLoads);
     servers.backsOffElsewhere(backoffs::isRequestedElsewhere);
     this.evacuations = new Evacuations(loop, log);
     evacuations.onEnded(servers::markDataCentreCold);
@@ -146,6 +149,11 @@
     return partStores.configure(next.partStores());
   }
 
+  /** Returns the origins of the streams that callers may resume. */
+  public StreamOrigins streams() {
+    return streams;
+  }
+
   /**
    * Records a published version of a model's weights unless the same or a newer one is known.
    *
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/StructuredDecisionLog.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/StructuredDecisionLog.java
@@ -127,7 +127,7 @@
         .addKeyValue("server", entry.id())
         .addKeyValue("service", entry.service())
         .addKeyValue("address", entry.address())
-        .addKeyValue("softwareVersion", entry.softwareVersion())
+        .addKeyValue("softwareVersion", String.valueOf(entry.softwareVersion()))
         .addKeyValue("weights", entry.weightVersions())
         .addKeyValue("revision", revision)
         .log("server " + change);
--- a/landingtrack/src/main/java/org/landingtrack/internal/settings/EntrySettings.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/settings/EntrySettings.java
@@ -55,6 +55,8 @@
  * @param memoryMb memory of this VM; 0 if not stated
  * @param fileDescriptors file descriptors that the process may have; 0 if not stated
  * @param linkMbps rate of this VM's network link; 0 if not stated
+ * @param firstStart true if the whole fleet starts for the first time, so that no caller has a
+ *     stream to resume
  * @param mechanismsOff names of the mechanisms for high load that are switched off
  */
 public record EntrySettings(
@@ -86,6 +88,7 @@
     int memoryMb,
     int fileDescriptors,
     double linkMbps,
+    boolean firstStart,
     List<String> mechanismsOff) {
 
   private static final int HUNDREDTHS_PER_CORE = 100;
@@ -137,6 +140,7 @@
     keys.add(SettingKey.optionalDecimal("limits.memoryMb", 0, 0, MAX_RATE));
     keys.add(SettingKey.optionalDecimal("limits.fileDescriptors", 0, 0, MAX_RATE));
     keys.add(SettingKey.optionalDecimal("limits.linkMbps", 0, 0, MAX_RATE));
+    keys.add(SettingKey.optionalFlag("firstStart"));
     keys.add(
         SettingKey.textList("mechanisms.off", List.of(), MECHANISM_PATTERN, MECHANISM_DESCRIPTION));
     return List.copyOf(keys);
@@ -173,6 +177,7 @@
         memoryMb,
         fileDescriptors,
         linkMbps,
+        firstStart,
         mechanismsOff);
   }
 
@@ -214,6 +219,7 @@
         (int) values.decimal("limits.memoryMb"),
         (int) values.decimal("limits.fileDescriptors"),
         values.decimal("limits.linkMbps"),
+        values.flag("firstStart"),
         List.copyOf(values.textList("mechanisms.off")));
   }
 
--- a/landingtrack/src/main/java/org/landingtrack/internal/settings/SettingKey.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/settings/SettingKey.java
@@ -83,6 +83,11 @@
     return new SettingKey(path, Type.FLAG, null, 0, 0, null, "true or false");
   }
 
+  /** Creates an optional key for true or false, which is false by default. */
+  static SettingKey optionalFlag(String path) {
+    return new SettingKey(path, Type.FLAG, false, 0, 0, null, "true or false");
+  }
+
   static SettingKey text(String path, @Nullable String defaultText, String regex, String allowed) {
     return new SettingKey(path, Type.TEXT, defaultText, 0, 0, Pattern.compile(regex), allowed);
   }
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/streams/ServiceVersions.java
@@ -0,0 +1,181 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.streams;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.landingtrack.internal.base.Ticker;
+import org.landingtrack.internal.loads.GossipExchange;
+
+/**
+ * Tracks which software versions the servers of each service have or had recently. A service with
+ * more than one is mixed. Used on the event loop only.
+ */
+public final class ServiceVersions implements GossipExchange.ReportHandler<MixedServiceReport> {
+  /** Longest time from the start of a stream to its last continuation. */
+  public static final long RETENTION_MS = 30_000;
+
+  /**
+   * How long a new version of a service begins no streams while servers of another version can:
+   * time for all VMs to learn that the service is mixed.
+   */
+  static final long SETTLE_MS = 500;
+
+  /** Bound of services in one message, about 1 kB. */
+  static final int MAX_REPORTS = 32;
+
+  /** Bound of services that are known from other VMs only. */
+  private static final int MAX_SERVICES = 256;
+
+  private final Ticker ticker;
+  private final Map<String, Service> services = new HashMap<>();
+  private Consumer<String> mixedListener = service -> {};
+  private long historySinceMs;
+
+  private static final class Service {
+    private final Map<String, Sighting> versions = new HashMap<>();
+    private long mixedUntilMs = Long.MIN_VALUE;
+  }
+
+  /** When this VM first and last saw a server of a version. */
+  private record Sighting(long firstMs, long lastMs) {}
+
+  /** Creates a tracker without history. */
+  public ServiceVersions(Ticker ticker) {
+    this.ticker = ticker;
+    this.historySinceMs = ticker.millis();
+  }
+
+  /** Sets the listener for services that become mixed. */
+  void onMixed(Consumer<String> listener) {
+    mixedListener = listener;
+  }
+
+  /**
+   * Records that a server of a version is listed.
+   *
+   * @param isInitial true if it is from the first list that this VM reads, which does not tell
+   *     which version is new
+   */
+  public void recordListed(String serviceName, String version, boolean isInitial) {
+    long now = ticker.millis();
+    Service service = service(serviceName);
+    service.versions.values().removeIf(each -> now - each.lastMs > RETENTION_MS);
+    Sighting before = service.versions.get(version);
+    boolean isKnown = before != null || service.versions.isEmpty() || isInitial;
+    long firstMs = before != null ? before.firstMs : isKnown ? Long.MIN_VALUE / 2 : now;
+    service.versions.put(version, new Sighting(firstMs, now));
+    if (service.versions.size() > 1) {
+      extendMixed(serviceName, service, now + RETENTION_MS);
+    }
+  }
+
+  private Service service(String name) {
+    return services.computeIfAbsent(name, key -> new Service());
+  }
+
+  private void extendMixed(String name, Service service, long untilMs) {
+    boolean wasMixed = isMixed(service);
+    service.mixedUntilMs = Math.max(service.mixedUntilMs, untilMs);
+    if (!wasMixed && isMixed(service)) {
+      mixedListener.accept(name);
+    }
+  }
+
+  private boolean isMixed(Service service) {
+    return ticker.millis() < service.mixedUntilMs;
+  }
+
+  /** Returns true if a stream of the service may have begun at one of several versions. */
+  public boolean isMixed(String serviceName) {
+    Service service = services.get(serviceName);
+    return service != null && isMixed(service);
+  }
+
+  /** Returns the number of mixed services. */
+  public int mixedCount() {
+    int count = 0;
+    for (Service service : services.values()) {
+      count += isMixed(service) ? 1 : 0;
+    }
+    return count;
+  }
+
+  /** Returns true if a version may begin streams although other versions could. */
+  public boolean isSettled(String serviceName, @Nullable String version) {
+    Service service = services.get(serviceName);
+    Sighting sighting = service == null ? null : service.versions.get(version);
+    return sighting != null && ticker.millis() - sighting.firstMs >= SETTLE_MS;
+  }
+
+  /**
+   * Returns the version at which all streams of a service began that may still go on, or null if
+   * there may be several or this VM's history is too short.
+   */
+  @Nullable String onlyVersion(String serviceName) {
+    Service service = services.get(serviceName);
+    if (service == null || isMixed(service) || service.versions.size() != 1 || !hasHistory()) {
+      return null;
+    }
+    return service.versions.keySet().iterator().next();
+  }
+
+  /** Returns true if this VM knows which versions served while any current stream was begun. */
+  boolean hasHistory() {
+    return historyMs() >= RETENTION_MS;
+  }
+
+  /** Returns the length of this VM's history in milliseconds. */
+  long historyMs() {
+    return ticker.millis() - historySinceMs;
+  }
+
+  /** Extends the history by what another VM knew, after its reports were applied. */
+  void extendHistory(long otherHistoryMs) {
+    historySinceMs = Math.min(historySinceMs, ticker.millis() - otherHistoryMs);
+  }
+
+  /** Notes that the fleet starts for the first time, so that no earlier stream exists. */
+  public void assumeNoEarlierStreams() {
+    extendHistory(RETENTION_MS);
+  }
+
+  @Override
+  public List<MixedServiceReport> reportsToSend() {
+    List<MixedServiceReport> reports = new ArrayList<>();
+    services.forEach(
+        (name, service) -> {
+          if (isMixed(service) && reports.size() < MAX_REPORTS) {
+            reports.add(new MixedServiceReport(name, service.mixedUntilMs - ticker.millis()));
+          }
+        });
+    return reports;
+  }
+
+  @Override
+  public void receiveReports(List<MixedServiceReport> reports) {
+    for (MixedServiceReport report : reports) {
+      if (services.containsKey(report.service()) || services.size() < MAX_SERVICES) {
+        long remainingMs = Math.min(report.remainingMs(), RETENTION_MS);
+        extendMixed(report.service(), service(report.service()), ticker.millis() + remainingMs);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/streams/StreamMessage.java
@@ -0,0 +1,52 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.streams;
+
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+import org.landingtrack.internal.streams.StreamOriginTable.KnownStream;
+
+/** Message from one VM to another about the origins of streams, in one datagram. */
+sealed interface StreamMessage {
+  /** Tells the origins of streams that the sender began or continued. */
+  record Announcement(List<KnownStream> streams) implements StreamMessage {
+    public Announcement {
+      streams = List.copyOf(streams);
+    }
+  }
+
+  /**
+   * Asks for the origin of a stream.
+   *
+   * @param sender address to which the reply is sent
+   * @param service the service at which the stream would have begun if there is only one
+   */
+  record OriginQuery(String sender, StreamKey key, String service) implements StreamMessage {}
+
+  /** Answers a query; the origin is null if it is not known. */
+  record OriginReply(String sender, StreamKey key, @Nullable StreamOrigin origin)
+      implements StreamMessage {}
+
+  /** Asks for the history of a VM. */
+  record HistoryQuery(String sender) implements StreamMessage {}
+
+  /** Tells for how long the sender has known all versions, and which services are mixed. */
+  record HistoryReply(long historyMs, List<MixedServiceReport> mixed) implements StreamMessage {
+    public HistoryReply {
+      mixed = List.copyOf(mixed);
+    }
+  }
+}
--- /dev/null
+++ b/landingtrack/src/main/java/org/landingtrack/internal/streams/package-info.java
@@ -0,0 +1,23 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+/**
+ * Software versions at which streams began. Software versions of one service may serve side by side
+ * without being compatible, so a stream may be continued only at the version that began it. A VM
+ * remembers the streams that it began, and shares that with a few other VMs while a service has
+ * several versions. The package does no I/O of its own; callers pass in what sends messages.
+ */
+@org.jspecify.annotations.NullMarked
+package org.landingtrack.internal.streams;
--- a/landingtrack/src/test/java/org/landingtrack/internal/loads/GossipCodecTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/loads/GossipCodecTest.java
@@ -32,6 +32,7 @@
 import org.landingtrack.internal.loads.PartStoreReport.Change;
 import org.landingtrack.internal.quarantine.RequestDigest;
 import org.landingtrack.internal.quarantine.SuspectReport;
+import org.landingtrack.internal.streams.MixedServiceReport;
 import org.testng.annotations.Test;
 
 /** Tests that messages are decoded as encoded, and that invalid bytes are rejected. */
@@ -66,7 +67,8 @@
           List.of(
               new TallyReport(
                   TallyTopic.SERVERS, List.of(new Tally(-42, 12, 0, 1_790_000_000_000L))),
-              new TallyReport(TallyTopic.RETRIES, List.of(new Tally(7), new Tally(8, 1)))));
+              new TallyReport(TallyTopic.RETRIES, List.of(new Tally(7), new Tally(8, 1)))),
+          List.of(new MixedServiceReport("engines", 29_900)));
 
   private static GossipMessage decode(byte[] bytes) throws IOException {
     return GossipCodec.decode(bytes, bytes.length);
@@ -93,7 +95,7 @@
   @Test
   public void messageOfPreviousReleaseIsDecoded() throws IOException {
     List<?> fields = MessagePack.MAPPER.readValue(GossipCodec.encode(MESSAGE), List.class);
-    List<Object> previous = new ArrayList<>(fields.subList(0, fields.size() - 3));
+    List<Object> previous = new ArrayList<>(fields.subList(0, fields.size() - 4));
     previous.set(4, List.of(List.of(-42, 9_000, 3, 17, 12_000)));
     GossipMessage read = decode(MessagePack.MAPPER.writeValueAsBytes(previous));
     assertEquals(read.loads(), List.of(new Load(-42, 9_000, 3, 17, 12_000)));
@@ -101,7 +103,8 @@
     assertEquals(read.limits(), List.of());
     assertEquals(read.backoffs(), List.of());
     assertEquals(read.tallies(), List.of());
-    previous.addAll(fields.subList(fields.size() - 3, fields.size() - 1));
+    assertEquals(read.mixedServices(), List.of());
+    previous.addAll(fields.subList(fields.size() - 4, fields.size() - 2));
     assertEquals(
         decode(MessagePack.MAPPER.writeValueAsBytes(previous)).backoffs(), MESSAGE.backoffs());
   }
--- a/landingtrack/src/test/java/org/landingtrack/internal/loads/GossipExchangeTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/loads/GossipExchangeTest.java
@@ -31,6 +31,9 @@
 import org.landingtrack.internal.loads.GossipMessage.Load;
 import org.landingtrack.internal.loads.GossipMessage.Vm;
 import org.landingtrack.internal.quarantine.Quarantine;
+import org.landingtrack.internal.serving.ManualEventLoop;
+import org.landingtrack.internal.streams.ServiceVersions;
+import org.landingtrack.internal.streams.StreamOrigins;
 import org.testng.annotations.Test;
 
 /** Tests the exchange of gossip messages over real UDP sockets. */
@@ -107,6 +110,7 @@
             noReports(),
             noReports(),
             List.of(),
+            noStreams(peers),
             this::onLoop);
       } catch (BindException e) {
         if (System.nanoTime() > endNs) {
@@ -117,6 +121,11 @@
     }
   }
 
+  private static StreamOrigins noStreams(PeerLoads peers) {
+    ManualEventLoop loop = new ManualEventLoop();
+    return new StreamOrigins(loop, new ServiceVersions(loop), peers);
+  }
+
   private void onLoop(Runnable task) {
     synchronized (loop) {
       task.run();
--- a/landingtrack/src/test/java/org/landingtrack/internal/loads/VmMessages.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/loads/VmMessages.java
@@ -55,7 +55,8 @@
             List.of(),
             limits,
             rests,
-            FleetTallies.createReports(kind, tallies));
+            FleetTallies.createReports(kind, tallies),
+            List.of());
     try {
       byte[] bytes = GossipCodec.encode(message);
       return GossipCodec.decode(bytes, bytes.length);
