Do not resume a stream at the service to which its route moved

Cause: the same class of fault as between software versions: a resumed stream went to whatever service its route names now. Services of one route may run different software, and their version names cannot be compared. A resumed stream goes on there if the route still has the service, whatever its present weight, and is refused otherwise.

--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServingConfig.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServingConfig.java
@@ -27,6 +27,7 @@
 public final class ServingConfig {
   private final long version;
   private final int mostUrgentPriority;
+  private final List<Route> routes;
   private final Map<String, List<Route>> routesByHost = new HashMap<>();
   private final Map<String, ServiceInfo> services;
   private final Map<String, Team> teamsByKey;
@@ -48,6 +49,7 @@
       CallerLimits limits,
       List<PartStore.StoreInfo> partStores) {
     this.version = version;
+    this.routes = List.copyOf(routes);
     this.mostUrgentPriority = routes.stream().mapToInt(Route::priority).min().orElse(0);
     for (Route route : routes) {
       routesByHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
@@ -75,6 +77,11 @@
     return mostUrgentPriority;
   }
 
+  /** Returns all routes. */
+  public List<Route> routes() {
+    return routes;
+  }
+
   /** Returns the route with the longest path prefix that matches, if any. */
   public Optional<Route> route(String host, String path) {
     for (Route route : routesByHost.getOrDefault(host, List.of())) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServingState.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServingState.java
@@ -144,11 +144,34 @@
     if (current != null && next.version() <= current.version()) {
       return List.of();
     }
+    if (current != null) {
+      markMovedStreams(current, next);
+    }
     config = next;
     log.configApplied(next.version(), revision);
     return partStores.configure(next.partStores());
   }
 
+  /**
+   * Streams of a route whose services change may have begun at any of them, so their origins are
+   * announced like those of several software versions.
+   */
+  private void markMovedStreams(ServingConfig before, ServingConfig next) {
+    List<Route> routes = new ArrayList<>(before.routes());
+    routes.addAll(next.routes());
+    for (Route route : routes) {
+      Route previous = before.route(route.host(), route.pathPrefix()).orElse(null);
+      Route current = next.route(route.host(), route.pathPrefix()).orElse(null);
+      if (!route.streaming() || previous == null || current == null) {
+        continue;
+      }
+      if (!previous.targets().equals(current.targets())) {
+        previous.targets().forEach(target -> servers.versions().markMixed(target.service()));
+        current.targets().forEach(target -> servers.versions().markMixed(target.service()));
+      }
+    }
+  }
+
   /** Returns the origins of the streams that callers may resume. */
   public StreamOrigins streams() {
     return streams;
--- a/landingtrack/src/main/java/org/landingtrack/internal/streams/ServiceVersions.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/streams/ServiceVersions.java
@@ -87,6 +87,14 @@
     }
   }
 
+  /**
+   * Treats a service as mixed from now on, since its streams may have begun at another service of
+   * their route.
+   */
+  public void markMixed(String service) {
+    extendMixed(service, service(service), ticker.millis() + RETENTION_MS);
+  }
+
   private Service service(String name) {
     return services.computeIfAbsent(name, key -> new Service());
   }
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/StreamVersionTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/StreamVersionTest.java
@@ -17,8 +17,10 @@
 
 import static org.testng.Assert.assertEquals;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import org.landingtrack.internal.streams.ServiceVersions;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -97,4 +99,112 @@
     assertEquals(fixture.transport.sends.size(), 1);
     assertEquals(sink.log.toString(), "stream 200; event id: 1; abort");
   }
+
+  /** Resumes the stream that {@link #beginStream} began, after its first event. */
+  private RecordingSink resume() {
+    CallerRequest began = fixture.request("/chat/x", ServingFixture.KEY);
+    RecordingSink sink = new RecordingSink();
+    fixture.serving.serve(
+        new CallerRequest(
+            "id-2",
+            began.method(),
+            began.host(),
+            began.target(),
+            began.headers(),
+            began.body(),
+            began.deadlineMs(),
+            began.key(),
+            began.prompt(),
+            "1",
+            began.id(),
+            fixture.loop.millis()),
+        sink);
+    fixture.loop.advance(1);
+    return sink;
+  }
+
+  /** Replaces the services of the chat route. */
+  private void configureChat(long version, Route.Target... targets) {
+    ServingConfig before = ServingFixture.config(version, "plain");
+    List<Route> routes = new ArrayList<>();
+    for (Route route : before.routes()) {
+      boolean isChat = route.pathPrefix().equals("/chat/");
+      routes.add(isChat ? withTargets(route, List.of(targets)) : route);
+    }
+    fixture.state.configure(
+        new ServingConfig(
+            version,
+            routes,
+            Map.of(
+                "engines",
+                before.service("engines"),
+                "engines-2",
+                before.service("engines"),
+                "plain",
+                before.service("plain")),
+            Map.of(ServingFixture.KEY, new Team("team-1", false, -1)),
+            CallerLimits.DEFAULT,
+            List.of()),
+        version);
+  }
+
+  private static Route withTargets(Route route, List<Route.Target> targets) {
+    return new Route(
+        route.name(),
+        route.host(),
+        route.pathPrefix(),
+        route.retryMode(),
+        route.streaming(),
+        targets,
+        route.priority(),
+        route.timeoutMs(),
+        route.targetLatencyMs(),
+        route.maxAttempts(),
+        route.allowsAnonymous(),
+        route.maxEventGapMs());
+  }
+
+  private static ServerEntry atOtherService(ServerEntry entry) {
+    return new ServerEntry(
+        entry.id(),
+        "engines-2",
+        entry.address(),
+        entry.dataCentre(),
+        entry.slots(),
+        false,
+        0,
+        entry.weightVersions(),
+        0,
+        entry.softwareVersion());
+  }
+
+  @Test
+  public void streamIsNotResumedAtTheServiceToWhichItsRouteMoved() {
+    list(engine("e1", "v1"), atOtherService(engine("f1", "v1")));
+    beginStream(new RecordingSink());
+    configureChat(2, new Route.Target("engines-2", 1));
+    assertEquals(resume().log.toString(), "refused STREAM_NOT_RESUMABLE");
+    assertEquals(fixture.transport.sends.size(), 1);
+  }
+
+  @Test
+  public void streamIsResumedAtItsServiceAfterItsRouteWasSplit() {
+    list(engine("e1", "v1"), atOtherService(engine("f1", "v1")));
+    beginStream(new RecordingSink());
+    configureChat(2, new Route.Target("engines-2", 1_000_000), new Route.Target("engines", 1));
+    resume();
+    assertEquals(fixture.transport.last().call.serverId(), "e1");
+  }
+
+  /** Another VM has begun the stream, and has ended. */
+  @Test
+  public void streamBegunElsewhereIsNotResumedWhereItsRouteMovedSinceThen() {
+    list(engine("e1", "v1"), atOtherService(engine("f1", "v1")));
+    fixture.book.versions().assumeNoEarlierStreams();
+    configureChat(2, new Route.Target("engines-2", 1));
+    assertEquals(resume().log.toString(), "refused STREAM_NOT_RESUMABLE");
+    fixture.loop.advance(ServiceVersions.RETENTION_MS);
+    resume();
+    assertEquals(fixture.transport.last().call.serverId(), "f1");
+  }
 }
