Do not assume the software version of a server that may have started again

Cause: an entry whose server keeps its id over restarts names the version of the earlier start until the new one is read. When a server reported a later start before its entry did, the old version was carried over; after a lost connection the entry counted as current. A stream could go on there at another version. Change: a later start that only the server reported has no known version, and for 3 s after a lost connection neither has a server that states its start time. Servers without a start time get a new id at each start, which each call names, so nothing changes for them. Result: two new cases of StreamVersionTest fail with both measures put out of force and pass now; a third one guards servers without a start time.

--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/AttemptPlanner.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/AttemptPlanner.java
@@ -144,7 +144,7 @@
                 service,
                 backend ->
                     softwareVersion != null
-                        && softwareVersion.equals(backend.entry().softwareVersion()),
+                        && softwareVersion.equals(backend.softwareVersion(loop.millis())),
                 false)
             .isEmpty();
   }
@@ -202,7 +202,7 @@
     ServiceVersions versions = state.servers().versions();
     List<Backend> settled = new ArrayList<>();
     for (Backend backend : servers) {
-      if (versions.isSettled(service, backend.entry().softwareVersion())) {
+      if (versions.isSettled(service, backend.softwareVersion(loop.millis()))) {
         settled.add(backend);
       }
     }
@@ -455,7 +455,7 @@
         newestWeights().orElse(0),
         prompt == null ? 0 : state.newestWeightsAgeMs(prompt.model()),
         config == null ? 0 : config.version(),
-        Objects.requireNonNullElse(backend.entry().softwareVersion(), ""),
+        Objects.requireNonNullElse(backend.softwareVersion(loop.millis()), ""),
         Objects.requireNonNullElse(resumeAfter, ""),
         Objects.requireNonNullElse(request.resumes(), ""));
   }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/Backend.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/Backend.java
@@ -17,6 +17,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.jspecify.annotations.Nullable;
 import org.landingtrack.internal.base.Hashes;
 import org.landingtrack.internal.loads.PeerLoads;
 
@@ -36,6 +37,12 @@
   /** How long a server that was full or loading is skipped if there are others. */
   private static final long REFUSED_MS = 150;
 
+  /**
+   * Time after a lost connection within which a server that started again under its id has written
+   * its new entry to the platform's store, and this VM has read it.
+   */
+  static final long RESTART_DETECTION_MS = 3_000;
+
   private ServerEntry entry;
   private final long idHash;
   private long incarnationHash;
@@ -63,6 +70,7 @@
   private boolean reportedLeaving;
   private boolean reportedUnreadable;
   private int noticeCount;
+  private long connectionLostAtMs = Long.MIN_VALUE / 2;
 
   Backend(ServerEntry entry, long sinceMs) {
     this(entry, sinceMs, new EngineTiming());
@@ -100,6 +108,21 @@
     return entry;
   }
 
+  /** Notes that a connection to the server broke or could not be opened. */
+  void connectionLost(long nowMs) {
+    connectionLostAtMs = nowMs;
+  }
+
+  /**
+   * Returns the software version of the server, or null if it is not known. A server that keeps its
+   * id over restarts may have started again with another version after a lost connection.
+   */
+  @Nullable String softwareVersion(long nowMs) {
+    boolean mayHaveRestarted =
+        entry.startedMs() > 0 && nowMs - connectionLostAtMs < RESTART_DETECTION_MS;
+    return mayHaveRestarted ? null : entry.softwareVersion();
+  }
+
   /** Sets the store revision at which this VM last saw the entry. */
   void setListedRevision(long revision) {
     listedRevision = revision;
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/Eligibility.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/Eligibility.java
@@ -49,8 +49,9 @@
       boolean continuesStream,
       @Nullable String softwareVersion) {
     /** Returns true if a server has the software version that the request needs. */
-    boolean allowsSoftware(ServerEntry entry) {
-      boolean isSame = softwareVersion != null && softwareVersion.equals(entry.softwareVersion());
+    boolean allowsSoftware(Backend backend, long nowMs) {
+      boolean isSame =
+          softwareVersion != null && softwareVersion.equals(backend.softwareVersion(nowMs));
       return !continuesStream || isSame;
     }
   }
@@ -84,7 +85,7 @@
     if (terms.tried().contains(entry.id())) {
       return IneligibleReason.TRIED;
     }
-    if (!terms.allowsSoftware(entry)) {
+    if (!terms.allowsSoftware(backend, loop.millis())) {
       return IneligibleReason.OTHER_SOFTWARE;
     }
     if (ended.test(backend)) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
@@ -528,8 +528,8 @@
     }
 
     /** Records at which software version the stream goes on from now. */
-    private void recordStreamStart(ServerEntry server) {
-      String version = server.softwareVersion();
+    private void recordStreamStart(Backend server) {
+      String version = server.softwareVersion(loop.millis());
       if (planner != null) {
         planner.continueStreamAt(version);
       }
@@ -540,6 +540,7 @@
     }
 
     private void recordFailure(Attempt sent, String why) {
+      sent.backend().connectionLost(loop.millis());
       if (sent.backend().failed(loop.millis())) {
         serving.log().ejected(sent.serverId(), why);
       }
@@ -552,7 +553,7 @@
 
     @Override
     public void streamStarted(Attempt sent, ResponseHead head) {
-      recordStreamStart(sent.backend().entry());
+      recordStreamStart(sent.backend());
       response.startStream(head);
     }
 
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerEntry.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerEntry.java
@@ -73,7 +73,10 @@
     this(id, service, address, dataCentre, slots, leaving, coldMs, weightVersions, 0);
   }
 
-  /** Returns this entry with another start time, as that of another incarnation. */
+  /**
+   * Returns this entry with another start time, as that of another incarnation, whose software
+   * version is not known.
+   */
   ServerEntry withStartedMs(long newStartedMs) {
     return new ServerEntry(
         id,
@@ -85,7 +88,7 @@
         coldMs,
         weightVersions,
         newStartedMs,
-        softwareVersion);
+        null);
   }
 
   /**
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/StreamVersionTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/StreamVersionTest.java
@@ -207,4 +207,56 @@
     resume();
     assertEquals(fixture.transport.last().call.serverId(), "f1");
   }
+
+  private static ServerEntry startedAt(ServerEntry entry, long startedMs) {
+    return new ServerEntry(
+        entry.id(),
+        entry.service(),
+        entry.address(),
+        entry.dataCentre(),
+        entry.slots(),
+        false,
+        0,
+        entry.weightVersions(),
+        startedMs,
+        entry.softwareVersion());
+  }
+
+  /** The entry of the later start, which names its version, comes after the server's own report. */
+  @Test
+  public void streamDoesNotGoOnAtAServerThatStartedAgainWithAnUnknownSoftwareVersion() {
+    list(startedAt(engine("e1", "v1"), 10), startedAt(engine("e2", "v1"), 10));
+    RecordingSink sink = new RecordingSink();
+    String began = beginStream(sink);
+    String other = began.equals("e1") ? "e2" : "e1";
+    fixture.book.onIncarnationReported(other, 20);
+    fixture.transport.last().listener.outcomeUnknown("reset");
+    assertEquals(sink.log.toString(), "stream 200; event id: 1; abort");
+    fixture.book.put(startedAt(engine(other, "v1"), 20), 3);
+    resume();
+    assertEquals(fixture.transport.last().call.serverId(), other);
+  }
+
+  /** A server that keeps its id over restarts may have started again as another version. */
+  @Test
+  public void streamDoesNotGoOnAtAServerThatHasJustLostItsConnections() {
+    list(startedAt(engine("e1", "v1"), 10));
+    beginStream(new RecordingSink());
+    fixture.transport.last().listener.outcomeUnknown("reset");
+    assertEquals(resume().log.toString(), "refused STREAM_NOT_RESUMABLE");
+    assertEquals(fixture.transport.sends.size(), 1);
+    fixture.loop.advance(Backend.RESTART_DETECTION_MS);
+    resume();
+    assertEquals(fixture.transport.last().call.serverId(), "e1");
+  }
+
+  /** A server without a start time has another id after a restart, which calls name. */
+  @Test
+  public void streamGoesOnAtItsServerThatLostAConnection() {
+    list(engine("e1", "v1"));
+    beginStream(new RecordingSink());
+    fixture.transport.last().listener.outcomeUnknown("reset");
+    resume();
+    assertEquals(fixture.transport.sends.size(), 2);
+  }
 }
