Prefer streams to continue at the servers of their version, also when these are full

Seen by callers: a resumed stream whose few servers were full was refused after one or two rejections, while new streams began at servers of other versions. Cause: it was treated like a new request: one try at each server, memory of an engine only up to the share of new requests, refused by the wait of the queue. Result: two of the three new cases of StreamVersionTest failed before ('expected [] but found [refused NO_BACKEND_SERVER]', 24 sends instead of 25); all pass. EngineAdmissionTest has the decisions; its other cases are unchanged.

--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/AttemptHistory.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/AttemptHistory.java
@@ -30,9 +30,13 @@
   /** The least time until the deadline that is worth another attempt. */
   static final long MIN_ATTEMPT_MS = 20;
 
+  /** Rejections by full servers after which a stream to continue is not sent to them again. */
+  static final int MAX_REJECTIONS = 4;
+
   private final Set<String> triedServerIds = new HashSet<>();
   private int attempts;
   private int connectFailures;
+  private int rejections;
   private boolean inDoubt;
 
   /**
@@ -61,6 +65,19 @@
     triedServerIds.remove(serverId);
   }
 
+  /**
+   * Records that a full server rejected the last attempt of a stream to continue; returns true if
+   * the stream may be sent to it again.
+   */
+  boolean recordRejection(String serverId) {
+    rejections++;
+    if (rejections > MAX_REJECTIONS) {
+      return false;
+    }
+    recordRecall(serverId);
+    return true;
+  }
+
   /** Records that the last attempt may have run, or may still run. */
   void markInDoubt() {
     inDoubt = true;
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/AttemptPlanner.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/AttemptPlanner.java
@@ -132,6 +132,11 @@
     softwareVersion = version;
   }
 
+  /** Returns true if the request continues a stream. */
+  boolean continuesStream() {
+    return continuesStream;
+  }
+
   /**
    * Returns true if the request continues a stream, and no server that may still get requests has
    * the software version that began it.
@@ -292,6 +297,7 @@
   boolean canWaitForServer() {
     return skippedServers.containsKey(IneligibleReason.COLD)
         || skippedServers.containsKey(IneligibleReason.FULL)
+        || skippedServers.containsKey(IneligibleReason.REJECTED)
         || skippedServers.containsKey(IneligibleReason.LIMITED);
   }
 
@@ -350,7 +356,9 @@
     if (info.engine() == null) {
       return -1;
     }
-    return team != null && team.priority() >= 0 ? team.priority() : route.priority();
+    int priority = team != null && team.priority() >= 0 ? team.priority() : route.priority();
+    // Only few servers may be able to continue the stream, while others can begin new ones.
+    return continuesStream ? Math.max(0, priority - 1) : priority;
   }
 
   /**
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/Eligibility.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/Eligibility.java
@@ -88,6 +88,9 @@
     if (!terms.allowsSoftware(backend, loop.millis())) {
       return IneligibleReason.OTHER_SOFTWARE;
     }
+    if (terms.continuesStream() && backend.isRecentlyRefused(loop.millis())) {
+      return IneligibleReason.REJECTED;
+    }
     if (ended.test(backend)) {
       return IneligibleReason.ENDED;
     }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/EngineAdmission.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/EngineAdmission.java
@@ -69,6 +69,8 @@
    * @param leftMs time until its deadline
    * @param expectedWaitMs expected time until an engine would start it, given this VM's queue
    * @param mayQueue false if the engine must not get requests that it may have to reject
+   * @param continuesStream true for a stream that other engines may be unable to continue: it gets
+   *     the memory of a request that has waited, and does not queue behind others
    */
   static Verdict decide(
       Selection choice,
@@ -76,14 +78,17 @@
       long targetMs,
       long leftMs,
       long expectedWaitMs,
-      boolean mayQueue) {
-    double waited = mayQueue ? Math.min(1, (double) ageMs / Math.max(1, targetMs)) : 0;
+      boolean mayQueue,
+      boolean continuesStream) {
+    double waited = continuesStream ? 1 : Math.min(1, (double) ageMs / Math.max(1, targetMs));
+    waited = mayQueue ? waited : 0;
     double share = MEMORY_SHARE + (MAX_MEMORY_SHARE - MEMORY_SHARE) * waited;
     if (choice.waitMs() <= MAX_ENGINE_WAIT_MS && choice.memoryShare() <= share) {
       return Verdict.SEND;
     }
     double answerMs = choice.expectedMs() - choice.waitMs();
-    return expectedWaitMs + answerMs > leftMs ? Verdict.REFUSE : Verdict.WAIT;
+    long queueMs = continuesStream ? 0 : expectedWaitMs;
+    return queueMs + answerMs > leftMs ? Verdict.REFUSE : Verdict.WAIT;
   }
 
   /**
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/IneligibleReason.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/IneligibleReason.java
@@ -35,6 +35,8 @@
   COLD,
   /** It crashes if it rejects too many requests, and all its slots are taken. */
   FULL,
+  /** It was full a moment ago, and rejected a stream to continue. */
+  REJECTED,
   /** It has a request limit, and this VM may send it nothing at the moment. */
   LIMITED;
 
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
@@ -183,6 +183,27 @@
     send();
   }
 
+  private boolean continuesStream() {
+    AttemptPlanner currentPlanner = planner;
+    return currentPlanner != null && currentPlanner.continuesStream();
+  }
+
+  /**
+   * Queues a stream to continue that a full server rejected; returns false if it has to be refused.
+   */
+  private boolean queueAfterRejection(String serverId) {
+    boolean mayWait =
+        continuesStream()
+            && history.recordRejection(serverId)
+            && serving.state().retries(service).tryRetry();
+    if (!mayWait) {
+      return false;
+    }
+    serving.waiting().add(this, rank());
+    send();
+    return true;
+  }
+
   /** Sends a waiting request if a server can start it soon. */
   void trySendQueued() {
     if (!done && attempt == null) {
@@ -267,7 +288,8 @@
         currentRoute.targetLatencyMs(),
         leftMs,
         waitMs,
-        !serving.brittle().isBrittle(service))) {
+        !serving.brittle().isBrittle(service),
+        continuesStream())) {
       case SEND -> {
         serving.waiting().recordStart(this);
         serving.admission().sent(this);
@@ -518,6 +540,9 @@
         case FULL -> {
           sent.backend().refused(loop.millis());
           serving.notices().rejected(sent.backend());
+          if (queueAfterRejection(sent.serverId())) {
+            return;
+          }
         }
         case OTHER_VERSION -> sent.refusedWeights(serving.state());
         case REFUSED, TOO_LATE -> {}
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/EngineAdmissionTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/EngineAdmissionTest.java
@@ -59,7 +59,8 @@
             true,
             0);
     assertEquals(
-        EngineAdmission.decide(choice, ageMs, TARGET_MS, leftMs, expectedWaitMs, true), verdict);
+        EngineAdmission.decide(choice, ageMs, TARGET_MS, leftMs, expectedWaitMs, true, false),
+        verdict);
   }
 
   @Test
@@ -67,9 +68,24 @@
     Selection choice =
         new Selection(TestPartTransfers.engine("e"), 0, null, 0, 0.76, 100, 100, true, 0);
     assertEquals(
-        EngineAdmission.decide(choice, TARGET_MS, TARGET_MS, 4_000, 0, true), Verdict.SEND);
+        EngineAdmission.decide(choice, TARGET_MS, TARGET_MS, 4_000, 0, true, false), Verdict.SEND);
     assertEquals(
-        EngineAdmission.decide(choice, TARGET_MS, TARGET_MS, 4_000, 0, false), Verdict.WAIT);
+        EngineAdmission.decide(choice, TARGET_MS, TARGET_MS, 4_000, 0, false, false), Verdict.WAIT);
+  }
+
+  @Test
+  public void streamsToContinueGetTheMemoryOfAgedRequestsAndAreNotRefused() {
+    Selection choice =
+        new Selection(TestPartTransfers.engine("e"), 0, null, 0, 1.05, 100, 100, true, 0);
+    assertEquals(EngineAdmission.decide(choice, 0, TARGET_MS, 4_000, 0, true, false), Verdict.WAIT);
+    assertEquals(EngineAdmission.decide(choice, 0, TARGET_MS, 4_000, 0, true, true), Verdict.SEND);
+    assertEquals(EngineAdmission.decide(choice, 0, TARGET_MS, 4_000, 0, false, true), Verdict.WAIT);
+    Selection full =
+        new Selection(TestPartTransfers.engine("e"), 0, null, 0, 1.2, 100, 100, true, 0);
+    assertEquals(
+        EngineAdmission.decide(full, 0, TARGET_MS, 4_000, 9_000, true, false), Verdict.REFUSE);
+    assertEquals(
+        EngineAdmission.decide(full, 0, TARGET_MS, 4_000, 9_000, true, true), Verdict.WAIT);
   }
 
   @Test
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/StreamVersionTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/StreamVersionTest.java
@@ -16,10 +16,13 @@
 package org.landingtrack.internal.serving;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import org.landingtrack.internal.serving.BackendTransport.NotRunReason;
 import org.landingtrack.internal.streams.ServiceVersions;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -259,4 +262,70 @@
     resume();
     assertEquals(fixture.transport.sends.size(), 2);
   }
+
+  /** Lets the VM save up retries. */
+  private void serveRequests(int count) {
+    for (int i = 0; i < count; i++) {
+      fixture.serve("/chat/x");
+      fixture.transport.last().startStream();
+      fixture.transport.last().listener.completed(new byte[0]);
+    }
+  }
+
+  @Test
+  public void resumedStreamIsNotLostWhileTheServersOfItsVersionAreFull() {
+    list(engine("e1", "v1"), engine("e2", "v1"), engine("e3", "v2"));
+    serveRequests(30);
+    while (!beginStream(new RecordingSink()).equals("e1")) {
+      fixture.transport.last().listener.completed(new byte[0]);
+    }
+    RecordingSink sink = resume();
+    for (int i = 0; i < 2; i++) {
+      fixture.transport.last().listener.notRun(NotRunReason.FULL, "full");
+    }
+    assertEquals(sink.log.toString(), "");
+    int before = fixture.transport.sends.size();
+    fixture.loop.advance(300);
+    assertEquals(fixture.transport.sends.size(), before + 1);
+    assertNotEquals(fixture.transport.last().call.serverId(), "e3");
+    fixture.transport.last().startStream();
+    fixture.transport.last().listener.completed(new byte[0]);
+    assertEquals(sink.log.toString(), "stream 200; end");
+  }
+
+  /** Requests to full servers count against the retry budget. */
+  @Test
+  public void resumedStreamIsSentToFullServersAFewTimesOnly() {
+    list(engine("e1", "v1"));
+    serveRequests(30);
+    beginStream(new RecordingSink());
+    int before = fixture.transport.sends.size();
+    RecordingSink sink = resume();
+    for (int i = 0; i < 10 && sink.log.toString().isEmpty(); i++) {
+      fixture.transport.last().listener.notRun(NotRunReason.FULL, "full");
+      fixture.loop.advance(300);
+    }
+    assertEquals(sink.log.toString(), "refused NO_BACKEND_SERVER");
+    int sends = fixture.transport.sends.size() - before;
+    assertTrue(sends <= 1 + AttemptHistory.MAX_REJECTIONS, "sends " + sends);
+  }
+
+  @Test
+  public void resumedStreamGoesOnWhileNewStreamsWaitForMemory() {
+    list(engine("e1", "v1"), engine("e2", "v2"));
+    while (!beginStream(new RecordingSink()).equals("e1")) {
+      fixture.transport.last().listener.completed(new byte[0]);
+    }
+    fixture.transport.last().listener.outcomeUnknown("reset");
+    int sends = -1;
+    while (sends < fixture.transport.sends.size()) {
+      sends = fixture.transport.sends.size();
+      fixture.serve("/chat/x");
+    }
+    resume();
+    assertEquals(fixture.transport.sends.size(), sends + 1);
+    assertEquals(fixture.transport.last().call.serverId(), "e1");
+    assertTrue(
+        fixture.transport.last().call.priority() < fixture.transport.sends.get(0).call.priority());
+  }
 }
