Do not share one origin among all callers that do not name their stream

Change: without an id there is no key; such a stream goes on only where its service has had one version, and is neither remembered nor announced. Result: the new case of StreamVersionTest fails with a shared key put back ('expected [refused STREAM_NOT_RESUMABLE] but found []') and passes.

--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
@@ -119,8 +119,7 @@
     }
     service = matched.serviceFor(Hashes.placement(request.splitKey()));
     if (matched.streaming() && request.resumeAfter() != null) {
-      String firstRequestId = Objects.requireNonNullElse(request.resumes(), "");
-      streamKey = StreamKey.of(teamName(), firstRequestId);
+      streamKey = StreamKey.of(teamName(), request.resumes());
       serving.state().streams().find(streamKey, service, origin -> resume(matched, origin));
       return;
     }
@@ -136,9 +135,9 @@
     if (origin == null) {
       refuse(
           ErrorKind.STREAM_NOT_RESUMABLE,
-          "the software version that began the stream of request '"
-              + request.resumes()
-              + "' is not known",
+          "the software version that began the stream of request "
+              + Objects.requireNonNullElse(request.resumes(), "(not named)")
+              + " is not known",
           0);
       return;
     }
--- a/landingtrack/src/main/java/org/landingtrack/internal/streams/StreamKey.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/streams/StreamKey.java
@@ -15,6 +15,7 @@
  */
 package org.landingtrack.internal.streams;
 
+import org.jspecify.annotations.Nullable;
 import org.landingtrack.internal.base.Hashes;
 
 /**
@@ -24,8 +25,10 @@
  *     callers choose the ids
  */
 public record StreamKey(long hash) {
-  /** Returns the key of a stream. */
-  public static StreamKey of(String team, String requestId) {
-    return new StreamKey(Hashes.placement(team, requestId));
+  /** Returns the key of a stream, or null if the id of its first request is missing. */
+  public static @Nullable StreamKey of(String team, @Nullable String requestId) {
+    return requestId == null || requestId.isBlank()
+        ? null
+        : new StreamKey(Hashes.placement(team, requestId));
   }
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/streams/StreamOrigins.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/streams/StreamOrigins.java
@@ -177,16 +177,25 @@
   /**
    * Finds the origin of a stream.
    *
+   * @param key the stream, or null if the caller does not name it
    * @param service the service at which the stream would go on without a known origin
    * @param listener receives the origin, or null if it is unknown; called at once or within {@link
    *     #SEARCH_TIMEOUT_MS}
    */
-  public void find(StreamKey key, String service, Consumer<@Nullable StreamOrigin> listener) {
-    StreamOrigin known = findHere(key, service);
+  public void find(
+      @Nullable StreamKey key, String service, Consumer<@Nullable StreamOrigin> listener) {
+    StreamOrigin known = key == null ? onlyOrigin(service) : findHere(key, service);
     if (known != null) {
       listener.accept(known);
-      return;
+    } else if (key == null) {
+      unknown++;
+      listener.accept(null);
+    } else {
+      search(key, service, listener);
     }
+  }
+
+  private void search(StreamKey key, String service, Consumer<@Nullable StreamOrigin> listener) {
     Search running = searches.get(key);
     if (running != null) {
       running.listeners.add(listener);
@@ -222,9 +231,10 @@
 
   private @Nullable StreamOrigin findHere(StreamKey key, String service) {
     StreamOrigin origin = table.find(key);
-    if (origin != null) {
-      return origin;
-    }
+    return origin != null ? origin : onlyOrigin(service);
+  }
+
+  private @Nullable StreamOrigin onlyOrigin(String service) {
     String version = versions.onlyVersion(service);
     return version == null || !isCurrent.getAsBoolean() ? null : new StreamOrigin(service, version);
   }
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/StreamVersionTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/StreamVersionTest.java
@@ -22,6 +22,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import org.jspecify.annotations.Nullable;
 import org.landingtrack.internal.serving.BackendTransport.NotRunReason;
 import org.landingtrack.internal.streams.ServiceVersions;
 import org.testng.annotations.BeforeMethod;
@@ -105,6 +106,10 @@
 
   /** Resumes the stream that {@link #beginStream} began, after its first event. */
   private RecordingSink resume() {
+    return resume("id-1");
+  }
+
+  private RecordingSink resume(@Nullable String firstRequestId) {
     CallerRequest began = fixture.request("/chat/x", ServingFixture.KEY);
     RecordingSink sink = new RecordingSink();
     fixture.serving.serve(
@@ -119,7 +124,7 @@
             began.key(),
             began.prompt(),
             "1",
-            began.id(),
+            firstRequestId,
             fixture.loop.millis()),
         sink);
     fixture.loop.advance(1);
@@ -328,4 +333,18 @@
     assertTrue(
         fixture.transport.last().call.priority() < fixture.transport.sends.get(0).call.priority());
   }
+
+  /** All such callers would share one origin. */
+  @Test
+  public void originsOfStreamsThatCallersDoNotNameAreNotMixedUp() {
+    fixture.loop.advance(ServiceVersions.RETENTION_MS + 1);
+    list(engine("e1", "v1"));
+    fixture.book.versions().assumeNoEarlierStreams();
+    resume(null);
+    assertEquals(fixture.transport.last().call.serverId(), "e1");
+    fixture.transport.last().startStream();
+    list(engine("e1", "v1"), engine("e2", "v2"));
+    assertEquals(resume(null).log.toString(), "refused STREAM_NOT_RESUMABLE");
+    assertEquals(resume("").log.toString(), "refused STREAM_NOT_RESUMABLE");
+  }
 }
