Record listed software versions without a look-up for each server

Change: one look-up for each change of version within a service's servers. Result: not measured; StreamVersionTest, ServerRegistryTest and ServerRestartTest pass.

--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerRegistry.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerRegistry.java
@@ -21,6 +21,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongPredicate;
@@ -255,9 +256,16 @@
 
   /** Records the versions of all servers that are listed; call this about once a second. */
   public void refreshVersions() {
-    for (Backend backend : backends.values()) {
-      if (!backend.isRemoved()) {
+    for (Map<String, Backend> servers : byService.values()) {
+      String last = null;
+      for (Backend backend : servers.values()) {
+        // Most servers of a service have the version of the one before.
+        boolean isRecorded = Objects.equals(last, backend.entry().softwareVersion());
+        if (isRecorded || backend.isRemoved()) {
+          continue;
+        }
         recordVersion(backend.entry(), false);
+        last = backend.entry().softwareVersion();
       }
     }
   }
