Announce streams while a VM has no history of the software versions

Cause: for 30 s after all VMs have started at once no VM can conclude that a service has had one version, and nothing was announced then: a stream whose VM ended was unknown elsewhere. Change: a VM without a history announces its streams as if their services were mixed. A case of StreamVersionTest did not see its fault when that was put in, since it did not count the sends; it does now.

--- a/landingtrack/src/main/java/org/landingtrack/internal/streams/StreamOrigins.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/streams/StreamOrigins.java
@@ -43,6 +43,9 @@
  * rendezvous hashing of the stream, so that a stream can go on after its VM ended. While a service
  * has one version, that version is the origin of all its streams, and nothing is announced.
  *
+ * <p>A VM that has just started takes over the history of another one. Until it has one, it
+ * announces its streams as if all services were mixed.
+ *
  * <p>What is not known for certain is not assumed: a lost message, a VM without history or a VM
  * without current data makes an origin unknown, but never a wrong one. Used on the event loop only.
  */
@@ -146,7 +149,7 @@
   /** Records that a stream began or goes on at this VM. Call this before its events are sent. */
   public void recordStart(StreamKey key, StreamOrigin origin) {
     table.put(key, origin, true);
-    if (versions.isMixed(origin.service())) {
+    if (versions.isMixed(origin.service()) || !versions.hasHistory()) {
       send(
           new Announcement(List.of(new KnownStream(key, origin))),
           peers.responsibleVms(key.hash(), REPLICAS));
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/StreamVersionTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/StreamVersionTest.java
@@ -201,6 +201,7 @@
     beginStream(new RecordingSink());
     configureChat(2, new Route.Target("engines-2", 1_000_000), new Route.Target("engines", 1));
     resume();
+    assertEquals(fixture.transport.sends.size(), 2);
     assertEquals(fixture.transport.last().call.serverId(), "e1");
   }
 
--- a/landingtrack/src/test/java/org/landingtrack/internal/streams/StreamOriginsTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/streams/StreamOriginsTest.java
@@ -134,6 +134,25 @@
     assertEquals(started.find(key(1)), V2);
   }
 
+  /** After the end of all VMs none has a history that another one could take over. */
+  @Test(dataProvider = "sizes")
+  public void streamIsKnownAfterItsVmEndedWhileNoVmHasAHistory(int vms) {
+    OriginVms fleet = new OriginVms(0, 0, 1);
+    for (int i = 0; i < vms; i++) {
+      fleet.add().start();
+    }
+    fleet.gossip();
+    fleet.list("v1");
+    for (int i = 0; i < 20; i++) {
+      fleet.vms.get(0).origins.recordStart(key(i), V1);
+    }
+    fleet.loop.advance(10);
+    fleet.vms.get(0).hasEnded = true;
+    for (int i = 0; i < 20; i++) {
+      assertEquals(fleet.vms.get(1 + i % (vms - 1)).find(key(i)), V1);
+    }
+  }
+
   @Test
   public void vmThatStartsTakesOverTheHistoryOfOthers() {
     OriginVms fleet = fleet(3);
