--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/AttemptPlanner.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/AttemptPlanner.java
@@ -137,6 +137,11 @@
     return continuesStream;
   }
 
+  /** Returns the software version that began the stream to continue, or null if not known. */
+  @Nullable String softwareVersion() {
+    return softwareVersion;
+  }
+
   /**
    * Returns true if the request continues a stream, and no server that may still get requests has
    * the software version that began it.
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
@@ -553,10 +553,14 @@
 
     /** Records at which software version the stream goes on from now. */
     private void recordStreamStart(Backend server) {
-      String version = server.softwareVersion(loop.millis());
-      if (planner != null) {
-        planner.continueStreamAt(version);
+      AttemptPlanner currentPlanner = planner;
+      if (currentPlanner == null) {
+        return;
+      }
+      if (!currentPlanner.continuesStream()) {
+        currentPlanner.continueStreamAt(server.softwareVersion(loop.millis()));
       }
+      String version = currentPlanner.softwareVersion();
       boolean isResumable = route != null && route.retryMode() == RetryMode.RESUME;
       if (isResumable && version != null && streamKey != null) {
         serving.state().streams().recordStart(streamKey, new StreamOrigin(service, version));
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/StreamVersionTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/StreamVersionTest.java
@@ -25,6 +25,8 @@
 import org.jspecify.annotations.Nullable;
 import org.landingtrack.internal.serving.BackendTransport.NotRunReason;
 import org.landingtrack.internal.streams.ServiceVersions;
+import org.landingtrack.internal.streams.StreamKey;
+import org.landingtrack.internal.streams.StreamOrigin;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -348,4 +350,25 @@
     assertEquals(resume(null).log.toString(), "refused STREAM_NOT_RESUMABLE");
     assertEquals(resume("").log.toString(), "refused STREAM_NOT_RESUMABLE");
   }
+
+  /** The version of a continued stream is known from before, whatever happens to its server. */
+  @Test
+  public void continuedStreamKeepsItsSoftwareVersionWhenItsServerLosesAnotherConnection() {
+    list(startedAt(engine("e1", "v1"), 10), startedAt(engine("e2", "v1"), 10));
+    fixture
+        .state
+        .streams()
+        .recordStart(StreamKey.of("team-1", "id-1"), new StreamOrigin("engines", "v1"));
+    resume();
+    FakeTransport.Sent resumed = fixture.transport.last();
+    do {
+      fixture.serve("/chat/x");
+    } while (!fixture.transport.last().call.serverId().equals(resumed.call.serverId()));
+    fixture.transport.last().listener.outcomeUnknown("reset");
+    resumed.startStream();
+    int sends = fixture.transport.sends.size();
+    resumed.listener.outcomeUnknown("reset");
+    assertEquals(fixture.transport.sends.size(), sends + 1);
+    assertNotEquals(fixture.transport.last().call.serverId(), resumed.call.serverId());
+  }
 }
