Let the test of a VM's history see a lost report of mixed services

Cause: with the fault put in (mixed services of a history reply not applied) the test passed, since its gossip told the VM the same. Change: the VMs of that test only learn of each other. Result: with the fault put in it fails now; without it StreamOriginsTest passes.

--- a/landingtrack/src/test/java/org/landingtrack/internal/streams/OriginVms.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/streams/OriginVms.java
@@ -117,20 +117,34 @@
 
   /** Lets all VMs in touch learn of each other and of mixed services. */
   void gossip() {
+    introduce();
     for (OriginVm sender : vms) {
       for (OriginVm receiver : vms) {
-        boolean reaches = !sender.hasEnded && !sender.isCut && !receiver.isCut;
-        if (sender != receiver && reaches) {
+        if (reaches(sender, receiver)) {
+          receiver.versions.receiveReports(sender.versions.reportsToSend());
+        }
+      }
+    }
+  }
+
+  /** Lets all VMs in touch learn of each other only. */
+  void introduce() {
+    for (OriginVm sender : vms) {
+      for (OriginVm receiver : vms) {
+        if (reaches(sender, receiver)) {
           Vm self = new Vm(sender.peers.address(), "dc", 50);
           receiver.peers.receive(
               new GossipMessage(
                   self, sender.sequence++, Kind.OWN, List.of(), List.of(), List.of()));
-          receiver.versions.receiveReports(sender.versions.reportsToSend());
         }
       }
     }
   }
 
+  private static boolean reaches(OriginVm sender, OriginVm receiver) {
+    return sender != receiver && !sender.hasEnded && !sender.isCut && !receiver.isCut;
+  }
+
   /** Lists servers of some versions at all VMs. */
   void list(String... versions) {
     for (OriginVm vm : vms) {
--- a/landingtrack/src/test/java/org/landingtrack/internal/streams/StreamOriginsTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/streams/StreamOriginsTest.java
@@ -174,7 +174,7 @@
     fleet.vms.get(0).origins.recordStart(key(1), V1);
     fleet.list("v2");
     OriginVm started = fleet.add();
-    fleet.gossip();
+    fleet.introduce();
     started.start();
     fleet.list(started, "v2");
     fleet.loop.advance(StreamOrigins.HISTORY_QUERY_INTERVAL_MS);
