Let the line of announced streams tell both of its reasons

Cause: read in the diff: it spoke of several software versions also when the services of a route had changed. Change: the line is 'streams announced to other VMs' and gives the reasons. Result: StreamOriginsTest passes.

--- a/landingtrack/src/main/java/org/landingtrack/internal/streams/StreamOrigins.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/streams/StreamOrigins.java
@@ -174,7 +174,8 @@
     log.atInfo()
         .addKeyValue("service", service)
         .addKeyValue("vms", byVm.size())
-        .log("service has several software versions");
+        .addKeyValue("why", "several software versions, or a route's services changed")
+        .log("streams announced to other VMs");
   }
 
   /**
