--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -54,11 +54,28 @@
     return vms;
   }
 
-  /** Returns a port that is free on all addresses of this machine. */
+  /** Returns a port that was free on the loopback address of each VM. */
   private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("0.0.0.0"))) {
-      return socket.getLocalPort();
+    while (true) {
+      try (ServerSocket first = new ServerSocket(0, 1, InetAddress.getByName(EntryVm.ipOf(1)))) {
+        int port = first.getLocalPort();
+        if (isFreeOnOthers(port)) {
+          return port;
+        }
+      }
+    }
+  }
+
+  private static boolean isFreeOnOthers(int port) {
+    for (int index = 2; index <= EntryVm.ZONES.size(); index++) {
+      try (ServerSocket other =
+          new ServerSocket(port, 1, InetAddress.getByName(EntryVm.ipOf(index)))) {
+        continue;
+      } catch (IOException e) {
+        return false;
+      }
     }
+    return true;
   }
 
   @Override
--- a/review/standins/EntryVm.java
+++ b/review/standins/EntryVm.java
@@ -62,7 +62,8 @@
     Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
   }
 
-  private static String ipOf(int index) {
+  /** Returns the loopback address of a VM. */
+  static String ipOf(int index) {
     return "127.0.0." + (10 + index);
   }
 
