Ask for API keys also when none is left

Cause: whether keys are asked for was derived from how many keys exist, and teams were kept by their keys only. So a configuration whose teams have no key looked like one without teams.

Ruled out: a change that is missed (the never-held key was refused before the change and served after it).

Tests without teams say so explicitly now.

--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServingConfig.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServingConfig.java
@@ -30,7 +30,7 @@
   private final List<Route> routes;
   private final Map<String, List<Route>> routesByHost = new HashMap<>();
   private final Map<String, ServiceInfo> services;
-  private final Map<String, Team> teamsByKey;
+  private final ApiKeys apiKeys;
   private final Map<String, Long> minTargetLatencyMs = new HashMap<>();
   private final CallerLimits callerLimits;
   private final List<PartStore.StoreInfo> partStores;
@@ -38,14 +38,13 @@
   /**
    * Creates a configuration.
    *
-   * @param teamsByKey the team of each API key; empty if callers need none
    * @param partStores the part stores
    */
   public ServingConfig(
       long version,
       List<Route> routes,
       Map<String, ServiceInfo> services,
-      Map<String, Team> teamsByKey,
+      ApiKeys apiKeys,
       CallerLimits limits,
       List<PartStore.StoreInfo> partStores) {
     this.version = version;
@@ -60,7 +59,7 @@
     Comparator<Route> longestFirst = Comparator.comparingInt(route -> -route.pathPrefix().length());
     routesByHost.values().forEach(list -> list.sort(longestFirst));
     this.services = Map.copyOf(services);
-    this.teamsByKey = Map.copyOf(teamsByKey);
+    this.apiKeys = apiKeys;
     this.callerLimits = limits;
     this.partStores = List.copyOf(partStores);
   }
@@ -109,7 +108,7 @@
 
   /** Returns the team that an API key belongs to. */
   public Optional<Team> team(@Nullable String key) {
-    return key == null ? Optional.empty() : Optional.ofNullable(teamsByKey.get(key));
+    return apiKeys.team(key);
   }
 
   /** Returns the part stores. */
@@ -117,9 +116,9 @@
     return partStores;
   }
 
-  /** Returns true if callers need an API key, except on open routes. */
+  /** Returns true if callers need an API key, except on public routes. */
   public boolean requiresApiKeys() {
-    return !teamsByKey.isEmpty();
+    return apiKeys.required();
   }
 
   /** Returns the limits for requests and connections of callers. */
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/EvacuationsTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/EvacuationsTest.java
@@ -50,7 +50,7 @@
                 before.route("host", "/safe/").orElseThrow(),
                 before.route("host", "/chat/").orElseThrow()),
             Map.of("plain", plain, "engines", before.services().get("engines")),
-            Map.of(ServingFixture.KEY, new Team("team-1", false, -1)),
+            ApiKeys.required(Map.of(ServingFixture.KEY, new Team("team-1", false, -1))),
             CallerLimits.DEFAULT,
             List.of()),
         version);
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/ReplacedWeightsTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/ReplacedWeightsTest.java
@@ -63,7 +63,7 @@
         Map.of(
             "engines",
             new ServiceInfo("engines", "/health", 100, new EngineInfo(8, 10_000, 18_432, 100_000))),
-        Map.of(ServingFixture.KEY, new Team("team-1", false, -1)),
+        ApiKeys.required(Map.of(ServingFixture.KEY, new Team("team-1", false, -1))),
         CallerLimits.DEFAULT,
         List.of());
   }
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/ServingCost.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/ServingCost.java
@@ -136,7 +136,12 @@
     ServiceInfo engines =
         new ServiceInfo("engines", "/health", 100, new EngineInfo(16, 93_000, 18_432, 40_000));
     return new ServingConfig(
-        1, List.of(route), Map.of("engines", engines), Map.of(), CallerLimits.DEFAULT, stores);
+        1,
+        List.of(route),
+        Map.of("engines", engines),
+        ApiKeys.NOT_REQUIRED,
+        CallerLimits.DEFAULT,
+        stores);
   }
 
   /** Simulates a round of load reports and the requests that arrive in it. */
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/ServingFixture.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/ServingFixture.java
@@ -137,7 +137,7 @@
             new ServiceInfo("other", "/health", 100, null),
             "engines",
             new ServiceInfo("engines", "/health", 100, new EngineInfo(8, 10_000, 18_432, 100_000))),
-        keys,
+        keys.isEmpty() ? ApiKeys.NOT_REQUIRED : ApiKeys.required(keys),
         CallerLimits.DEFAULT,
         List.of(STORE));
   }
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/StreamVersionTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/StreamVersionTest.java
@@ -152,7 +152,7 @@
                 before.service("engines"),
                 "plain",
                 before.service("plain")),
-            Map.of(ServingFixture.KEY, new Team("team-1", false, -1)),
+            ApiKeys.required(Map.of(ServingFixture.KEY, new Team("team-1", false, -1))),
             CallerLimits.DEFAULT,
             List.of()),
         version);
