Date a change that a watch reports at its end by the answer before

Seen in tests only: old weights stayed in use for longer than their limit where a watch missed their publication and reported it at its end.

Cause: TimestampedObjectApi took each watch to report a change at once, so that a change was dated a second before it was read.

Evidence: LateWeightsUpdateTest.aPublicationReportedAtTheEndOfAWatchIsDatedCorrectly failed before, with watches of 7 s.

Change: such an answer proves nothing about the time before it.

--- a/landingtrack/src/main/java/org/landingtrack/internal/platform/TimestampedObjectApi.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/platform/TimestampedObjectApi.java
@@ -47,7 +47,7 @@
    * suspended in between. A cut path to the store is detected within 3 s, and the time limits leave
    * a margin for that.
    */
-  private static final long MAX_READ_DELAY_MS = 1_000;
+  public static final long MAX_READ_DELAY_MS = 1_000;
 
   private final ObjectApi api;
   private final Ticker ticker;
@@ -136,7 +136,9 @@
     long sentMs = ticker.millis();
     Listing changes = api.watch(callClass, prefix, afterRevision, waitMs);
     long minAnswerMs = earliestAnswerMs(sentMs);
-    if (minAnswerMs > sentMs) {
+    // A store that dropped its history may report a change only at the end of a watch.
+    boolean reportedAtEnd = !changes.objects().isEmpty() && ticker.millis() - sentMs >= waitMs;
+    if (minAnswerMs > sentMs && !reportedAtEnd) {
       // The store had no change when it received the call; otherwise it would have answered at
       // once.
       recordUnchanged(prefix, afterRevision, minAnswerMs);
