Let entries of unknown services end no server

The server stayed unusable, also after its own next entry.

Cause: a later entry at an address counted as proof that the server before had ended, whatever its service, for good.

Change: only an entry of a configured service is evidence; a server whose own entry is written after it was marked as replaced is used again.

--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/Backend.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/Backend.java
@@ -58,6 +58,7 @@
   private long ejectedUntilMs;
   private long refusedUntilMs;
   private boolean replaced;
+  private long replacedRevision;
   private long listedRevision;
   private boolean ended;
   private long coldUntilMs = Long.MIN_VALUE;
@@ -353,11 +354,26 @@
     return timing.msPerToken();
   }
 
-  /**
-   * Notes that a later incarnation has the server's address: this one is gone and never returns.
-   */
+  /** Notes that another server answers at this one's address, so that this one has ended. */
   void markReplaced() {
+    markReplaced(listedRevision);
+  }
+
+  /** Notes that the entry of a later server has this one's address, so that this one has ended. */
+  void markReplaced(long revision) {
     replaced = true;
+    replacedRevision = revision;
+  }
+
+  /**
+   * Notes that the server wrote its entry. If that was after it was marked as replaced, it lives.
+   *
+   * @return true if the server was marked as replaced and is not any more
+   */
+  boolean clearReplaced(long revision) {
+    boolean returns = replaced && revision > replacedRevision;
+    replaced &= !returns;
+    return returns;
   }
 
   boolean isReplaced() {
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerRegistry.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerRegistry.java
@@ -69,6 +69,7 @@
   private LongPredicate backsOffElsewhere = start -> false;
   private LongPredicate ejectedByFleet = start -> false;
   private ToLongFunction<String> coldStartMs = service -> 0;
+  private Predicate<String> isConfiguredService = service -> true;
   private boolean isLoaded;
   private final ServiceVersions versions;
 
@@ -151,6 +152,14 @@
     return null;
   }
 
+  /**
+   * Sets the test for whether the configuration names a service. Entries of other services name no
+   * server to use, so they are no evidence against the server at their address.
+   */
+  void setConfiguredServices(Predicate<String> test) {
+    isConfiguredService = test;
+  }
+
   /** Sets the function that returns how long the servers of a service stay cold after a start. */
   void setColdStartDuration(ToLongFunction<String> ms) {
     coldStartMs = ms;
@@ -313,6 +322,7 @@
     }
     backend.setListedRevision(revision);
     boolean wasRemoved = backend.isRemoved();
+    boolean isBack = !isListed && backend.clearReplaced(revision);
     if (!before.weightVersions().equals(entry.weightVersions())) {
       backend.clearCachedParts();
     }
@@ -322,7 +332,7 @@
       removeFromIndexes(before);
       addToIndexes(backend);
     }
-    if (wasRemoved) {
+    if (wasRemoved || isBack) {
       log.serverChanged("back", entry, revision);
     } else if (!before.equals(entry)) {
       log.serverChanged(entry.leaving() ? "leaving" : "changed", entry, revision);
@@ -331,18 +341,20 @@
 
   /**
    * Ends the earlier server at the address of a new one. An address has one server, so a later
-   * entry proves that the earlier server ended; after a crash its entry remains for some
-   * heartbeats. A list does not say which entry is later, and an older copy of the store may
-   * contain entries of servers that are long gone, so neither proves anything.
+   * entry of a configured service shows that the earlier server ended; after a crash its entry
+   * remains for some heartbeats. If its entry is written once more, it has not ended. A list does
+   * not say which entry is later, and an older copy of the store may contain entries of servers
+   * that are long gone, so neither proves anything.
    */
   private void endEarlierAtAddress(@Nullable Backend earlier, Backend joined, long revision) {
     if (earlier == null || earlier == joined || earlier.isReplaced()) {
       return;
     }
-    if (outages.mayBeStale() || earlier.listedRevision() >= revision) {
+    boolean isEvidence = isConfiguredService.test(joined.entry().service());
+    if (!isEvidence || outages.mayBeStale() || earlier.listedRevision() >= revision) {
       return;
     }
-    earlier.markReplaced();
+    earlier.markReplaced(revision);
     log.ejected(earlier.entry().id(), "a later server has its address");
     incarnationEndedListener.accept(earlier);
   }
@@ -375,7 +387,9 @@
     ServerEntry entry = backend.entry();
     backends.put(entry.id(), backend);
     byService.computeIfAbsent(entry.service(), name -> new HashMap<>()).put(entry.id(), backend);
-    byAddress.put(entry.address(), backend);
+    if (isConfiguredService.test(entry.service())) {
+      byAddress.put(entry.address(), backend);
+    }
   }
 
   private void removeFromIndexes(ServerEntry entry) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServingState.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServingState.java
@@ -111,6 +111,12 @@
     this.evacuations = new Evacuations(loop, log);
     evacuations.onEnded(servers::markDataCentreCold);
     servers.setColdStartDuration(this::coldStartMs);
+    servers.setConfiguredServices(this::isConfigured);
+  }
+
+  private boolean isConfigured(String service) {
+    ServingConfig current = config;
+    return current != null && current.service(service) != null;
   }
 
   private long coldStartMs(String service) {
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/ServerAddressTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/ServerAddressTest.java
@@ -20,7 +20,10 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests that a later server at an address proves that the earlier one ended. */
@@ -39,6 +42,10 @@
     return new ServerEntry(id, "engines", address, "dc-1", 8, false, 0, weights);
   }
 
+  private static ServerEntry entryOf(String id, String service) {
+    return new ServerEntry(id, service, "10.0.0.1:80", "dc-1", 8, false, 0, Map.of());
+  }
+
   private String chooseServer() {
     world.serve("/chat/x");
     return world.transport.last().call.serverId();
@@ -89,4 +96,69 @@
     world.book.remove("gone", 7);
     assertEquals(chooseServer(), "old");
   }
+
+  /** Guards against a sound server that got no request: an unknown service had its address. */
+  @Test
+  public void entryOfAnUnknownServiceEndsNoServer() {
+    world.book.put(entryOf("unknown", "never-configured"), 6);
+    assertEquals(chooseServer(), "old");
+    world.book.remove("unknown", 7);
+    assertEquals(chooseServer(), "old");
+  }
+
+  @Test
+  public void serverThatWasEndedComesBackByItsNextEntry() {
+    world.book.put(engineAt("new", "10.0.0.1:80"), 6);
+    assertEquals(chooseServer(), "new");
+    world.book.remove("new", 7);
+    world.book.put(engineAt("old", "10.0.0.1:80"), 8);
+    assertEquals(chooseServer(), "old");
+  }
+
+  /** An entry from before the later server's proves nothing. */
+  @Test
+  public void serverThatWasEndedDoesNotComeBackByAnOlderEntry() {
+    world.book.put(engineAt("new", "10.0.0.1:80"), 8);
+    world.book.put(engineAt("old", "10.0.0.1:80"), 7);
+    assertEquals(chooseServer(), "new");
+  }
+
+  @DataProvider
+  public Object[][] seeds() {
+    return IntStream.range(0, 300)
+        .mapToObj(seed -> new Object[] {(long) seed})
+        .toArray(Object[][]::new);
+  }
+
+  /**
+   * Plays entries of unknown services, of earlier and later servers at the same address, removals,
+   * lists and older copies of the store. A sound server is usable again once its entry is written.
+   */
+  @Test(dataProvider = "seeds")
+  public void soundServerIsUsableOnceItsEntryIsWritten(long seed) {
+    SplittableRandom random = new SplittableRandom(seed);
+    long revision = 6;
+    for (int step = 0; step < 40; step++) {
+      world.loop.advance(random.nextInt(3_000));
+      revision++;
+      String other = "other-" + random.nextInt(3);
+      switch (random.nextInt(6)) {
+        case 0 -> world.book.put(entryOf(other, "never-configured"), revision);
+        case 1 -> world.book.put(engineAt(other, "10.0.0.1:80"), revision);
+        case 2 -> world.book.remove(other, revision);
+        case 3 -> {
+          world.book.onStoreRolledBack();
+          world.book.replaceAll(List.of(engineAt("old", "10.0.0.1:80")), revision);
+          world.book.onStoreRecovered();
+        }
+        case 4 -> world.book.put(entryOf(other, "never-configured"), revision - 3);
+        default -> world.book.put(engineAt("old", "10.0.0.1:80"), revision);
+      }
+    }
+    for (int i = 0; i < 3; i++) {
+      world.book.remove("other-" + i, ++revision);
+    }
+    world.book.put(engineAt("old", "10.0.0.1:80"), ++revision);
+    assertEquals(chooseServer(), "old");
+  }
 }
