Keep servers in the index of addresses that precede the configuration

Cause: only servers of configured services were indexed, and before the configuration none is.

Evidence: ServerAddressTest.serverThatWasListedBeforeTheConfigurationIsEnded failed before, 308 other cases passed.

Change: any server is indexed at a free address; only one of a configured service takes the place of another.

After: ServerAddressTest green (309 cases).

--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerRegistry.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerRegistry.java
@@ -387,9 +387,10 @@
     ServerEntry entry = backend.entry();
     backends.put(entry.id(), backend);
     byService.computeIfAbsent(entry.service(), name -> new HashMap<>()).put(entry.id(), backend);
-    if (isConfiguredService.test(entry.service())) {
-      byAddress.put(entry.address(), backend);
-    }
+    byAddress.merge(
+        entry.address(),
+        backend,
+        (known, added) -> isConfiguredService.test(added.entry().service()) ? added : known);
   }
 
   private void removeFromIndexes(ServerEntry entry) {
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/ServerAddressTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/ServerAddressTest.java
@@ -18,8 +18,10 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
 import org.testng.annotations.BeforeMethod;
@@ -106,6 +108,19 @@
     assertEquals(chooseServer(), "old");
   }
 
+  /** A VM may read the list of servers before the configuration. */
+  @Test
+  public void serverThatWasListedBeforeTheConfigurationIsEnded() {
+    Set<String> configured = new HashSet<>();
+    ServerRegistry registry =
+        new ServerRegistry(world.loop, new StructuredDecisionLog(), 1_400, 2_500);
+    registry.setConfiguredServices(configured::contains);
+    registry.replaceAll(List.of(engineAt("old", "10.0.0.1:80")), 5);
+    configured.add("engines");
+    registry.put(engineAt("new", "10.0.0.1:80"), 6);
+    assertTrue(registry.find("old").isReplaced());
+  }
+
   @Test
   public void serverThatWasEndedComesBackByItsNextEntry() {
     world.book.put(engineAt("new", "10.0.0.1:80"), 6);
