--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServingConfig.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServingConfig.java
@@ -30,7 +30,7 @@
   private final List<Route> routes;
   private final Map<String, List<Route>> routesByHost = new HashMap<>();
   private final Map<String, ServiceInfo> services;
-  private final ApiKeys apiKeys;
+  private final ApiKeys keys;
   private final Map<String, Long> minTargetLatencyMs = new HashMap<>();
   private final CallerLimits callerLimits;
   private final List<PartStore.StoreInfo> partStores;
@@ -44,7 +44,7 @@
       long version,
       List<Route> routes,
       Map<String, ServiceInfo> services,
-      ApiKeys apiKeys,
+      ApiKeys keys,
       CallerLimits limits,
       List<PartStore.StoreInfo> partStores) {
     this.version = version;
@@ -59,7 +59,7 @@
     Comparator<Route> longestFirst = Comparator.comparingInt(route -> -route.pathPrefix().length());
     routesByHost.values().forEach(list -> list.sort(longestFirst));
     this.services = Map.copyOf(services);
-    this.apiKeys = apiKeys;
+    this.keys = keys;
     this.callerLimits = limits;
     this.partStores = List.copyOf(partStores);
   }
@@ -108,7 +108,7 @@
 
   /** Returns the team that an API key belongs to. */
   public Optional<Team> team(@Nullable String key) {
-    return apiKeys.team(key);
+    return keys.team(key);
   }
 
   /** Returns the part stores. */
@@ -118,7 +118,7 @@
 
   /** Returns true if callers need an API key, except on public routes. */
   public boolean requiresApiKeys() {
-    return apiKeys.required();
+    return keys.required();
   }
 
   /** Returns the limits for requests and connections of callers. */
