Tell in one place that a watch reported a change at its end

Cause: ObjectFeed and TimestampedObjectApi both found out whether a change came only at the end of a watch, one for a log line and one for its date. ObjectFeed compared with its own wait, which is longer than the one that a hub asks for, and read the process's clock.

Change: TimestampedObjectApi, which knows the wait that was asked for and has the clock, writes the line. No decision changes.

--- a/landingtrack/src/main/java/org/landingtrack/internal/platform/ObjectFeed.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/platform/ObjectFeed.java
@@ -18,7 +18,6 @@
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.landingtrack.internal.base.BoundedWorker;
-import org.landingtrack.internal.base.Ticker;
 import org.landingtrack.internal.platform.ObjectApi.CallClass;
 import org.landingtrack.internal.platform.ObjectApi.Listing;
 import org.slf4j.Logger;
@@ -152,26 +151,16 @@
       sink.replaced(all);
       return;
     }
-    long startMs = Ticker.SYSTEM.millis();
     Listing changes = api.watch(CallClass.CONFIGURATION, prefix, from, waitMs);
-    long tookMs = Ticker.SYSTEM.millis() - startMs;
     if (Revision.generation(changes.revision()) > Revision.generation(from)) {
       throw new PlatformException(
           PlatformException.Reason.TOO_OLD, "the store came back from an older copy");
     }
     revision = Math.max(from, changes.revision());
     changesReceived = !changes.objects().isEmpty();
-    if (!changesReceived) {
-      return;
-    }
-    if (tookMs >= waitMs) {
-      log.atInfo()
-          .addKeyValue("prefix", prefix)
-          .addKeyValue("revision", revision)
-          .addKeyValue("tookMs", tookMs)
-          .log("store reported a change only at the end of a watch");
+    if (changesReceived) {
+      sink.changed(changes);
     }
-    sink.changed(changes);
   }
 
   /**
--- a/landingtrack/src/main/java/org/landingtrack/internal/platform/TimestampedObjectApi.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/platform/TimestampedObjectApi.java
@@ -25,6 +25,8 @@
 import org.jspecify.annotations.Nullable;
 import org.landingtrack.internal.base.StallDetector;
 import org.landingtrack.internal.base.Ticker;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Wraps an Object API and records the earliest possible time of each change: a change was made
@@ -49,6 +51,8 @@
    */
   public static final long MAX_READ_DELAY_MS = 1_000;
 
+  private static final Logger log = LoggerFactory.getLogger("store");
+
   private final ObjectApi api;
   private final Ticker ticker;
   private final StallDetector awake;
@@ -136,9 +140,16 @@
     long sentMs = ticker.millis();
     Listing changes = api.watch(callClass, prefix, afterRevision, waitMs);
     long minAnswerMs = earliestAnswerMs(sentMs);
-    // A store that dropped its history may report a change only at the end of a watch.
-    boolean reportedAtEnd = !changes.objects().isEmpty() && ticker.millis() - sentMs >= waitMs;
-    if (minAnswerMs > sentMs && !reportedAtEnd) {
+    long tookMs = ticker.millis() - sentMs;
+    boolean reportedAtEnd = !changes.objects().isEmpty() && tookMs >= waitMs;
+    if (reportedAtEnd) {
+      // A store that dropped its history may not wake a watch for a change.
+      log.atInfo()
+          .addKeyValue("prefix", prefix)
+          .addKeyValue("revision", changes.revision())
+          .addKeyValue("tookMs", tookMs)
+          .log("store reported a change only at the end of a watch");
+    } else if (minAnswerMs > sentMs) {
       // The store had no change when it received the call; otherwise it would have answered at
       // once.
       recordUnchanged(prefix, afterRevision, minAnswerMs);
