Start the history of software versions at the first list of servers

A VM that knows one version of a service takes it for the version of all streams, if it has known all versions for 30 s. This time was counted from the start of the process, although a VM that cannot read the store knows nothing: with the store away for 30 s after a restart, a VM whose first list held only v2 took it for the version of streams that other VMs had begun at v1 meanwhile. The history of another VM, taken over before the first list, had the same gap, however short the wait.

The history now starts at the first list, and is asked of other VMs from then on; what they tell earlier is ignored.

--- a/landingtrack/src/main/java/org/landingtrack/internal/streams/ServiceVersions.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/streams/ServiceVersions.java
@@ -47,7 +47,10 @@
   private final Ticker ticker;
   private final Map<String, Service> services = new HashMap<>();
   private Consumer<String> mixedListener = service -> {};
+  private Runnable firstListListener = () -> {};
   private long historySinceMs;
+  private boolean hasListed;
+  private boolean isFirstStart;
 
   private static final class Service {
     private final Map<String, Sighting> versions = new HashMap<>();
@@ -68,6 +71,11 @@
     mixedListener = listener;
   }
 
+  /** Sets the listener for the first list of servers. */
+  void onFirstList(Runnable listener) {
+    firstListListener = listener;
+  }
+
   /**
    * Records that a server of a version is listed.
    *
@@ -76,6 +84,7 @@
    */
   public void recordListed(String serviceName, String version, boolean isInitial) {
     long now = ticker.millis();
+    startHistory(now);
     Service service = service(serviceName);
     service.versions.values().removeIf(each -> now - each.lastMs > RETENTION_MS);
     Sighting before = service.versions.get(version);
@@ -87,6 +96,18 @@
     }
   }
 
+  /** Starts the history at the first list: this VM does not know which versions served before. */
+  private void startHistory(long now) {
+    if (hasListed) {
+      return;
+    }
+    hasListed = true;
+    if (!isFirstStart) {
+      historySinceMs = now;
+    }
+    firstListListener.run();
+  }
+
   /**
    * Treats a service as mixed from now on, since its streams may have begun at another service of
    * their route.
@@ -150,19 +171,30 @@
     return historyMs() >= RETENTION_MS;
   }
 
-  /** Returns the length of this VM's history in milliseconds. */
+  /** Returns the length of this VM's history in milliseconds; 0 before its first list. */
   long historyMs() {
-    return ticker.millis() - historySinceMs;
+    return hasListed || isFirstStart ? ticker.millis() - historySinceMs : 0;
   }
 
-  /** Extends the history by what another VM knew, after its reports were applied. */
+  /** Returns true once this VM has listed a server. */
+  boolean hasListed() {
+    return hasListed;
+  }
+
+  /**
+   * Extends the history by that of another VM, after its reports were applied. Before this VM's
+   * first list that would leave a gap, so it is ignored.
+   */
   void extendHistory(long otherHistoryMs) {
-    historySinceMs = Math.min(historySinceMs, ticker.millis() - otherHistoryMs);
+    if (hasListed) {
+      historySinceMs = Math.min(historySinceMs, ticker.millis() - otherHistoryMs);
+    }
   }
 
   /** Notes that the fleet starts for the first time, so that no earlier stream exists. */
   public void assumeNoEarlierStreams() {
-    extendHistory(RETENTION_MS);
+    isFirstStart = true;
+    historySinceMs = ticker.millis() - RETENTION_MS;
   }
 
   @Override
--- a/landingtrack/src/main/java/org/landingtrack/internal/streams/StreamOrigins.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/streams/StreamOrigins.java
@@ -74,7 +74,7 @@
   /** Interval at which a VM without history asks others for theirs. */
   static final long HISTORY_QUERY_INTERVAL_MS = 200;
 
-  /** Time after its start for which a VM asks for the history of others. */
+  /** Time after its first list for which a VM asks for the history of others. */
   static final long HISTORY_QUERY_WINDOW_MS = 10_000;
 
   private static final Logger log = LoggerFactory.getLogger("streams");
@@ -86,6 +86,7 @@
   private final Map<StreamKey, Search> searches = new HashMap<>();
   private Sender sender = (vm, bytes) -> {};
   private BooleanSupplier isCurrent = () -> true;
+  private boolean isStarted;
   private long historyQueriesEndMs;
   private long unknown;
 
@@ -119,11 +120,12 @@
     this.peers = peers;
     this.table = new StreamOriginTable(loop, ServiceVersions.RETENTION_MS);
     versions.onMixed(this::announceAll);
+    versions.onFirstList(this::onFirstList);
   }
 
   /**
-   * Starts to exchange messages, and asks other VMs for their history, which a VM that has just
-   * started lacks.
+   * Starts to exchange messages. From the first list of servers on, asks other VMs for their
+   * history, which a VM that has just started lacks.
    *
    * @param datagramSender sends messages to other VMs
    * @param currentView returns true while this VM would know of another version of a service, so
@@ -132,8 +134,18 @@
   public void start(Sender datagramSender, BooleanSupplier currentView) {
     sender = datagramSender;
     isCurrent = currentView;
+    isStarted = true;
     historyQueriesEndMs = loop.millis() + HISTORY_QUERY_WINDOW_MS;
-    queryHistory();
+    if (versions.hasListed()) {
+      queryHistory();
+    }
+  }
+
+  private void onFirstList() {
+    if (isStarted) {
+      historyQueriesEndMs = loop.millis() + HISTORY_QUERY_WINDOW_MS;
+      queryHistory();
+    }
   }
 
   private void queryHistory() {
--- a/landingtrack/src/test/java/org/landingtrack/internal/streams/StreamOriginsTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/streams/StreamOriginsTest.java
@@ -216,6 +216,49 @@
     assertNull(started.find(key(2)));
   }
 
+  @Test
+  public void timeBeforeTheFirstListIsNotHistory() {
+    OriginVms fleet = fleet(2);
+    OriginVm started = fleet.add();
+    started.start();
+    fleet.loop.advance(ServiceVersions.RETENTION_MS - 1_000);
+    fleet.list(fleet.vms.get(0), "v1");
+    fleet.vms.get(0).origins.recordStart(key(1), V1);
+    fleet.vms.forEach(vm -> vm.hasEnded = vm != started);
+    fleet.loop.advance(1_000);
+    fleet.list(started, "v2");
+    assertNull(started.find(key(1)));
+  }
+
+  @Test
+  public void historyTakenOverBeforeTheFirstListLeavesAGap() {
+    OriginVms fleet = fleet(2);
+    fleet.list("v1");
+    OriginVm started = fleet.add();
+    fleet.introduce();
+    started.start();
+    fleet.loop.advance(StreamOrigins.HISTORY_QUERY_INTERVAL_MS);
+    fleet.vms.get(0).origins.recordStart(key(1), V1);
+    fleet.vms.forEach(vm -> vm.hasEnded = vm != started);
+    fleet.loop.advance(1_000);
+    fleet.list(started, "v2");
+    assertNull(started.find(key(1)));
+  }
+
+  @Test
+  public void vmWhoseFirstListIsLateTakesOverTheHistoryOfOthers() {
+    OriginVms fleet = fleet(3);
+    fleet.list("v1");
+    OriginVm started = fleet.add();
+    fleet.introduce();
+    started.start();
+    fleet.loop.advance(2 * StreamOrigins.HISTORY_QUERY_WINDOW_MS);
+    fleet.introduce();
+    fleet.list("v1");
+    fleet.loop.advance(2 * StreamOrigins.HISTORY_QUERY_INTERVAL_MS);
+    assertEquals(started.find(key(1)), V1);
+  }
+
   /** A VM without contact may not know of a version at which others have begun streams. */
   @Test
   public void vmWithoutContactDoesNotAssumeTheOnlyVersionThatItKnows() {
