Tell the known software versions with a VM's history

A VM that starts alone takes over the history of another VM: for how long it has known all versions, and which services are mixed. The store answered it sooner than the others, so that it listed only v4, while they still knew only v2 and reported nothing mixed. It took v4 for the version of all streams, also of those that the others had just begun at v2.

A history now comes with the versions behind it and how long ago each was listed, so the VM sees that the service is mixed: it asks for the origin, tells the others, and refuses what it cannot find. Ages keep VMs from passing a version on for ever. A VM without contact, or with more versions than fit in a message, tells no history.

--- a/landingtrack/src/main/java/org/landingtrack/internal/streams/ServiceVersions.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/streams/ServiceVersions.java
@@ -85,15 +85,7 @@
   public void recordListed(String serviceName, String version, boolean isInitial) {
     long now = ticker.millis();
     startHistory(now);
-    Service service = service(serviceName);
-    service.versions.values().removeIf(each -> now - each.lastMs > RETENTION_MS);
-    Sighting before = service.versions.get(version);
-    boolean isKnown = before != null || service.versions.isEmpty() || isInitial;
-    long firstMs = before != null ? before.firstMs : isKnown ? Long.MIN_VALUE / 2 : now;
-    service.versions.put(version, new Sighting(firstMs, now));
-    if (service.versions.size() > 1) {
-      extendMixed(serviceName, service, now + RETENTION_MS);
-    }
+    record(serviceName, version, isInitial, now);
   }
 
   /** Starts the history at the first list: this VM does not know which versions served before. */
@@ -108,6 +100,20 @@
     firstListListener.run();
   }
 
+  private void record(String serviceName, String version, boolean isInitial, long seenAtMs) {
+    long now = ticker.millis();
+    Service service = service(serviceName);
+    service.versions.values().removeIf(each -> now - each.lastMs > RETENTION_MS);
+    Sighting before = service.versions.get(version);
+    boolean isKnown = before != null || service.versions.isEmpty() || isInitial;
+    long firstMs = before != null ? before.firstMs : isKnown ? Long.MIN_VALUE / 2 : now;
+    long lastMs = before == null ? seenAtMs : Math.max(before.lastMs, seenAtMs);
+    service.versions.put(version, new Sighting(firstMs, lastMs));
+    if (service.versions.size() > 1) {
+      extendMixed(serviceName, service, now + RETENTION_MS);
+    }
+  }
+
   /**
    * Treats a service as mixed from now on, since its streams may have begun at another service of
    * their route.
@@ -181,14 +187,35 @@
     return hasListed;
   }
 
+  /** Returns the versions that served recently, for other VMs. */
+  List<VersionSighting> sightings() {
+    List<VersionSighting> recent = new ArrayList<>();
+    services.forEach(
+        (name, service) ->
+            service.versions.forEach(
+                (version, sighting) -> {
+                  long agoMs = ticker.millis() - sighting.lastMs;
+                  if (agoMs <= RETENTION_MS) {
+                    recent.add(new VersionSighting(name, version, agoMs));
+                  }
+                }));
+    return recent;
+  }
+
   /**
    * Extends the history by that of another VM, after its reports were applied. Before this VM's
    * first list that would leave a gap, so it is ignored.
+   *
+   * @param sightings the versions that the other VM knows; it may read lists later than this one
    */
-  void extendHistory(long otherHistoryMs) {
-    if (hasListed) {
-      historySinceMs = Math.min(historySinceMs, ticker.millis() - otherHistoryMs);
+  void extendHistory(long otherHistoryMs, List<VersionSighting> sightings) {
+    if (!hasListed) {
+      return;
+    }
+    for (VersionSighting each : sightings) {
+      record(each.service(), each.softwareVersion(), false, ticker.millis() - each.agoMs());
     }
+    historySinceMs = Math.min(historySinceMs, ticker.millis() - otherHistoryMs);
   }
 
   /** Notes that the fleet starts for the first time, so that no earlier stream exists. */
--- a/landingtrack/src/main/java/org/landingtrack/internal/streams/StreamMessage.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/streams/StreamMessage.java
@@ -43,10 +43,17 @@
   /** Asks for the history of a VM. */
   record HistoryQuery(String sender) implements StreamMessage {}
 
-  /** Tells for how long the sender has known all versions, and which services are mixed. */
-  record HistoryReply(long historyMs, List<MixedServiceReport> mixed) implements StreamMessage {
+  /**
+   * Tells for how long the sender has known all versions, and which services are mixed.
+   *
+   * @param sightings the versions that the sender has listed recently
+   */
+  record HistoryReply(
+      long historyMs, List<MixedServiceReport> mixed, List<VersionSighting> sightings)
+      implements StreamMessage {
     public HistoryReply {
       mixed = List.copyOf(mixed);
+      sightings = List.copyOf(sightings);
     }
   }
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/streams/StreamMessageCodec.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/streams/StreamMessageCodec.java
@@ -81,6 +81,12 @@
           packer.packString(mixed.service());
           packer.packLong(mixed.remainingMs());
         }
+        packer.packArrayHeader(reply.sightings().size());
+        for (VersionSighting sighting : reply.sightings()) {
+          packer.packString(sighting.service());
+          packer.packString(sighting.softwareVersion());
+          packer.packLong(sighting.agoMs());
+        }
       }
       return packer.toByteArray();
     } catch (IOException e) {
@@ -112,7 +118,8 @@
         case ORIGIN_REPLY ->
             new OriginReply(unpacker.unpackString(), key(unpacker), origin(unpacker));
         case HISTORY_QUERY -> new HistoryQuery(unpacker.unpackString());
-        case HISTORY_REPLY -> new HistoryReply(unpacker.unpackLong(), mixed(unpacker));
+        case HISTORY_REPLY ->
+            new HistoryReply(unpacker.unpackLong(), mixed(unpacker), sightings(unpacker));
         default -> throw new IOException("invalid stream message: unknown type " + type);
       };
     } catch (MessagePackException e) {
@@ -151,6 +158,16 @@
     return streams;
   }
 
+  private static List<VersionSighting> sightings(MessageUnpacker unpacker) throws IOException {
+    List<VersionSighting> sightings = new ArrayList<>();
+    for (int remaining = size(unpacker); remaining > 0; remaining--) {
+      String service = unpacker.unpackString();
+      String version = unpacker.unpackString();
+      sightings.add(new VersionSighting(service, version, Math.max(0, unpacker.unpackLong())));
+    }
+    return sightings;
+  }
+
   private static List<MixedServiceReport> mixed(MessageUnpacker unpacker) throws IOException {
     List<MixedServiceReport> mixed = new ArrayList<>();
     for (int remaining = size(unpacker); remaining > 0; remaining--) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/streams/StreamOrigins.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/streams/StreamOrigins.java
@@ -294,15 +294,25 @@
     } else if (message instanceof OriginReply reply) {
       onReply(reply);
     } else if (message instanceof HistoryQuery query) {
-      send(
-          new HistoryReply(versions.historyMs(), versions.reportsToSend()),
-          List.of(query.sender()));
+      send(historyReply(), List.of(query.sender()));
     } else if (message instanceof HistoryReply reply) {
       versions.receiveReports(reply.mixed());
-      versions.extendHistory(reply.historyMs());
+      versions.extendHistory(reply.historyMs(), reply.sightings());
     }
   }
 
+  /** Returns this VM's history, or an empty one if it cannot be told in full. */
+  private HistoryReply historyReply() {
+    List<VersionSighting> sightings = versions.sightings();
+    boolean isWhole =
+        isCurrent.getAsBoolean()
+            && sightings.size() <= StreamMessageCodec.MAX_ENTRIES
+            && versions.mixedCount() <= ServiceVersions.MAX_REPORTS;
+    return isWhole
+        ? new HistoryReply(versions.historyMs(), versions.reportsToSend(), sightings)
+        : new HistoryReply(0, versions.reportsToSend(), List.of());
+  }
+
   private void onReply(OriginReply reply) {
     Search search = searches.get(reply.key());
     if (search == null) {
--- /dev/null
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/RestartingFleet.java
@@ -0,0 +1,378 @@
+/*
+ * Copyright (C) 2026 The landingtrack authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ * http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.landingtrack.internal.serving;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.landingtrack.internal.loads.GossipMessage;
+import org.landingtrack.internal.loads.GossipMessage.Kind;
+import org.landingtrack.internal.loads.PeerLoads;
+
+/**
+ * VMs that lose power and start again, servers of several software versions, and the store that
+ * lists the servers. Each event of a stream names the version that wrote it.
+ */
+final class RestartingFleet {
+  static final String SERVICE = "s";
+  static final int EVENTS_BEFORE_BREAK = 2;
+  static final int EVENTS_PER_STREAM = 4;
+  private static final long LINK_MS = 2;
+  private static final long GOSSIP_ROUND_MS = 100;
+  private static final long STORE_POLL_MS = 50;
+  private static final long REFRESH_MS = 1_000;
+  private static final long PEER_CONTACT_MS = 1_000;
+  private static final long STORE_CONTACT_MS = 6_000;
+  private static final long REMOVED_SERVER_RETENTION_MS = 30_000;
+  private static final double LOST_SHARE = 0.02;
+
+  final ManualEventLoop loop = new ManualEventLoop();
+  private final Random random;
+
+  /** The VMs by address; null while a VM has no power. */
+  private final Map<String, @Nullable Vm> vms = new TreeMap<>();
+
+  /** The running servers' versions by id. */
+  private final Map<String, String> running = new HashMap<>();
+
+  private final Map<String, ServerEntry> listed = new TreeMap<>();
+
+  /** The lists of the store with the times of the changes, the last one at the end. */
+  private final List<StoreList> lists = new ArrayList<>();
+
+  private record StoreList(long atMs, Map<String, ServerEntry> entries) {}
+
+  /** The process of a VM, from its start to its end. */
+  final class Vm implements BackendTransport {
+    final String address;
+    final ServerRegistry registry = new ServerRegistry(loop, new NoOpDecisionLog(), 1_400, 2_500);
+    final PeerLoads peers;
+    final ServingState state;
+    private final Serving serving;
+
+    /** How long after a change the store's answer arrives. */
+    long storeDelayMs;
+
+    /** Before this time the store answers nothing. */
+    long storeAwayUntilMs;
+
+    /** True while the VM exchanges no messages with others. */
+    boolean isCut;
+
+    private long storeAnsweredAtMs = loop.millis();
+    private @Nullable StoreList applied;
+
+    Vm(String address, boolean isFirstStart) {
+      this.address = address;
+      peers = new PeerLoads(loop, new GossipMessage.Vm(address, "dc-1", 0));
+      state = new ServingState(loop, registry, peers, new NoOpDecisionLog(), 3);
+      serving =
+          new Serving(
+              loop,
+              state,
+              this,
+              new NoOpDecisionLog(),
+              new ServingOptions(
+                  "dc-1", 20, 8_000, Map.of(), 1, 0, random.nextLong(), null, Set.of()));
+      state.configure(config(), 1);
+      state.weightsListed();
+      if (isFirstStart) {
+        registry.versions().assumeNoEarlierStreams();
+      }
+    }
+
+    boolean isRunning() {
+      return vms.get(address) == this;
+    }
+
+    boolean isReady() {
+      return state.ready();
+    }
+
+    private boolean isCurrent() {
+      return peers.receivedWithin(PEER_CONTACT_MS)
+          || loop.millis() - storeAnsweredAtMs <= STORE_CONTACT_MS;
+    }
+
+    private void start() {
+      state.streams().start(this::sendDatagram, this::isCurrent);
+      repeat(GOSSIP_ROUND_MS, this::gossip);
+      repeat(STORE_POLL_MS, this::readStore);
+      repeat(
+          REFRESH_MS,
+          () -> {
+            registry.refreshVersions();
+            registry.evictRemoved(REMOVED_SERVER_RETENTION_MS);
+          });
+    }
+
+    private void repeat(long intervalMs, Runnable task) {
+      if (isRunning()) {
+        task.run();
+        loop.schedule(intervalMs, () -> repeat(intervalMs, task));
+      }
+    }
+
+    private void sendDatagram(String receiver, byte[] bytes) {
+      if (!isRunning() || isCut || random.nextDouble() < LOST_SHARE) {
+        return;
+      }
+      loop.schedule(
+          LINK_MS,
+          () -> {
+            Vm vm = vms.get(receiver);
+            if (vm != null && !vm.isCut) {
+              vm.receive(bytes);
+            }
+          });
+    }
+
+    private void receive(byte[] bytes) {
+      try {
+        state.streams().decode(bytes, bytes.length).run();
+      } catch (IOException e) {
+        throw new IllegalStateException("a VM sent an invalid message", e);
+      }
+    }
+
+    private void gossip() {
+      GossipMessage message =
+          new GossipMessage(
+              new GossipMessage.Vm(address, "dc-1", 0),
+              loop.millis(),
+              Kind.OWN,
+              List.of(),
+              List.of(),
+              List.of());
+      for (Vm vm : running()) {
+        if (vm != this && !isCut && !vm.isCut && random.nextDouble() >= LOST_SHARE) {
+          vm.peers.receive(message);
+          vm.registry.versions().receiveReports(registry.versions().reportsToSend());
+        }
+      }
+      peers.nextRound();
+    }
+
+    private void readStore() {
+      if (loop.millis() < storeAwayUntilMs) {
+        return;
+      }
+      StoreList current = null;
+      for (StoreList list : lists) {
+        current = list.atMs <= loop.millis() - storeDelayMs ? list : current;
+      }
+      if (current == null) {
+        return;
+      }
+      storeAnsweredAtMs = loop.millis();
+      StoreList before = applied;
+      if (before == null) {
+        registry.replaceAll(current.entries.values(), current.atMs);
+      } else if (before.atMs < current.atMs) {
+        applyChanges(before.entries, current);
+      }
+      applied = before == null || before.atMs < current.atMs ? current : before;
+    }
+
+    private void applyChanges(Map<String, ServerEntry> before, StoreList current) {
+      current.entries.forEach(
+          (id, entry) -> {
+            if (!entry.equals(before.get(id))) {
+              registry.put(entry, current.atMs);
+            }
+          });
+      for (String id : before.keySet()) {
+        if (!current.entries.containsKey(id)) {
+          registry.remove(id, current.atMs);
+        }
+      }
+    }
+
+    /** Sends a request that begins a stream, or takes it up again after its last event. */
+    void serve(String requestId, ReceivedStream stream, @Nullable String resumes) {
+      String last = stream.lastEvent == 0 ? null : Integer.toString(stream.lastEvent);
+      stream.log.append(" | ").append(loop.millis()).append(" at ").append(address).append(':');
+      serving.serve(
+          new CallerRequest(
+              requestId,
+              "POST",
+              "host",
+              "/stream/",
+              List.of(),
+              new byte[0],
+              5_000,
+              null,
+              null,
+              last,
+              resumes,
+              loop.millis()),
+          stream);
+    }
+
+    @Override
+    public Exchange send(BackendCall call, Listener listener) {
+      boolean[] isCancelled = {false};
+      loop.schedule(LINK_MS, () -> run(call, listener, isCancelled));
+      return () -> {
+        isCancelled[0] = true;
+        return true;
+      };
+    }
+
+    private void run(BackendCall call, Listener listener, boolean[] isCancelled) {
+      String version = running.get(call.serverId());
+      if (isCancelled[0] || !isRunning()) {
+        return;
+      }
+      if (version == null) {
+        listener.notRun(NotRunReason.NO_CONNECTION, "connection refused");
+        return;
+      }
+      listener.head(new ResponseHead(200, List.of(), true, OptionalLong.empty()));
+      String last = call.resumeAfter();
+      int next = last == null ? 1 : Integer.parseInt(last) + 1;
+      int end = last == null ? EVENTS_BEFORE_BREAK : EVENTS_PER_STREAM;
+      for (int i = next; i <= end && !isCancelled[0]; i++) {
+        String event = "id: " + i + "\ndata: " + version + "\n\n";
+        listener.event(
+            new StreamEvent(Integer.toString(i), event.getBytes(StandardCharsets.US_ASCII)));
+      }
+      if (isCancelled[0]) {
+        return;
+      }
+      if (end == EVENTS_PER_STREAM) {
+        listener.completed(new byte[0]);
+      } else if (random.nextInt(10) == 0) {
+        listener.outcomeUnknown("the connection closed before the answer was whole");
+      }
+    }
+
+    @Override
+    public void probe(String serverId, String serverAddress, Consumer<Boolean> refused) {
+      refused.accept(!running.containsKey(serverId));
+    }
+
+    @Override
+    public void dropConnections(String serverId) {}
+  }
+
+  RestartingFleet(int count, long seed) {
+    random = new Random(seed);
+    for (int i = 1; i <= count; i++) {
+      vms.put("10.0.0." + i + ":70", null);
+    }
+  }
+
+  private static ServingConfig config() {
+    Route route =
+        new Route(
+            "stream",
+            "host",
+            "/stream/",
+            Route.RetryMode.RESUME,
+            true,
+            List.of(new Route.Target(SERVICE, 1)),
+            1,
+            12_000,
+            300,
+            2,
+            true,
+            300);
+    return new ServingConfig(
+        1,
+        List.of(route),
+        Map.of(SERVICE, new ServiceInfo(SERVICE, "/health", 500, null)),
+        ApiKeys.NOT_REQUIRED,
+        CallerLimits.DEFAULT,
+        List.of());
+  }
+
+  /** Returns the addresses of all VMs. */
+  List<String> addresses() {
+    return List.copyOf(vms.keySet());
+  }
+
+  /** Returns the VMs that have power. */
+  List<Vm> running() {
+    List<Vm> found = new ArrayList<>();
+    vms.values()
+        .forEach(
+            vm -> {
+              if (vm != null) {
+                found.add(vm);
+              }
+            });
+    return found;
+  }
+
+  /** Starts a VM that has no power. */
+  Vm start(String address, boolean isFirstStart, Consumer<Vm> setting) {
+    Vm vm = new Vm(address, isFirstStart);
+    setting.accept(vm);
+    vms.put(address, vm);
+    vm.start();
+    return vm;
+  }
+
+  /** Ends a VM's process without notice. */
+  void kill(String address) {
+    vms.put(address, null);
+  }
+
+  /** Starts a server of a software version, also under the id of an earlier one, and lists it. */
+  void startServer(String id, String version) {
+    running.put(id, version);
+    list(entry(id, version, false));
+  }
+
+  private static ServerEntry entry(String id, String version, boolean isLeaving) {
+    return new ServerEntry(
+        id, SERVICE, id + ".servers:80", "dc-1", 500, isLeaving, 0, Map.of(), 0, version);
+  }
+
+  /** Lists a server as leaving, while it serves on. */
+  void announceLeaving(String id) {
+    ServerEntry entry = listed.get(id);
+    if (entry != null) {
+      list(entry(id, String.valueOf(entry.softwareVersion()), true));
+    }
+  }
+
+  /** Removes a server's entry, while it serves on. */
+  void unlist(String id) {
+    listed.remove(id);
+    lists.add(new StoreList(loop.millis(), Map.copyOf(listed)));
+  }
+
+  /** Ends a server; its entry stays. */
+  void endServer(String id) {
+    running.remove(id);
+  }
+
+  private void list(ServerEntry entry) {
+    listed.put(entry.id(), entry);
+    lists.add(new StoreList(loop.millis(), Map.copyOf(listed)));
+  }
+}
--- a/landingtrack/src/test/java/org/landingtrack/internal/streams/StreamMessageCodecTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/streams/StreamMessageCodecTest.java
@@ -47,7 +47,12 @@
       {new OriginReply("10.1.0.2:7580", KEY, ORIGIN)},
       {new OriginReply("10.1.0.2:7580", KEY, null)},
       {new HistoryQuery("10.1.0.1:7580")},
-      {new HistoryReply(31_000, List.of(new MixedServiceReport("engines", 29_000)))},
+      {
+        new HistoryReply(
+            31_000,
+            List.of(new MixedServiceReport("engines", 29_000)),
+            List.of(new VersionSighting("engines", "v1", 500)))
+      },
     };
   }
 
--- a/landingtrack/src/test/java/org/landingtrack/internal/streams/StreamOriginsTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/streams/StreamOriginsTest.java
@@ -16,6 +16,7 @@
 package org.landingtrack.internal.streams;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
@@ -216,6 +217,19 @@
     assertNull(started.find(key(2)));
   }
 
+  @Test
+  public void vmThatStartsDoesNotAssumeAVersionThatVmsWithHistoryHaveNotListedYet() {
+    OriginVms fleet = fleet(3);
+    fleet.list("v1");
+    fleet.vms.get(0).origins.recordStart(key(1), V1);
+    OriginVm started = fleet.add();
+    fleet.introduce();
+    started.start();
+    fleet.list(started, "v2");
+    fleet.loop.advance(StreamOrigins.HISTORY_QUERY_INTERVAL_MS);
+    assertNotEquals(started.find(key(1)), V2);
+  }
+
   @Test
   public void timeBeforeTheFirstListIsNotHistory() {
     OriginVms fleet = fleet(2);
