Do not take a stream that began at an unknown version for one of the only known version

Seen in a test only: a stream began at a server that had just started again under its id, whose version was not known yet; taken up again, it went on at another server, at the only version that the VM knew. A stream without a known version was not remembered, so it looked like any stream of a service with one version.

The service counts as mixed from then on, so that what is not remembered is refused. StreamVersionTest#streamBegunAtAnUnknownSoftwareVersionDoesNotGoOnAtTheOnlyKnownOne failed before (the stream went on) and passes. Stream*Test, ServiceVersionsTest, RequestRunTest and the tests of the server registry, restarts and leaving servers: 235 of 235.

--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
@@ -562,8 +562,12 @@
         currentPlanner.continueStreamAt(server.softwareVersion(loop.millis()));
       }
       String version = currentPlanner.softwareVersion();
-      boolean isResumable = route != null && route.retryMode() == RetryMode.RESUME;
-      if (isResumable && version != null && streamKey != null) {
+      if (route == null || route.retryMode() != RetryMode.RESUME) {
+        return;
+      }
+      if (version == null) {
+        serving.state().servers().versions().markMixed(service);
+      } else if (streamKey != null) {
         serving.state().streams().recordStart(streamKey, new StreamOrigin(service, version));
       }
     }
--- a/landingtrack/src/main/java/org/landingtrack/internal/streams/ServiceVersions.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/streams/ServiceVersions.java
@@ -116,7 +116,7 @@
 
   /**
    * Treats a service as mixed from now on, since its streams may have begun at another service of
-   * their route.
+   * their route, or at a version that is not known.
    */
   public void markMixed(String service) {
     extendMixed(service, service(service), ticker.millis() + RETENTION_MS);
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/StreamVersionTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/StreamVersionTest.java
@@ -248,6 +248,18 @@
     assertEquals(fixture.transport.last().call.serverId(), other);
   }
 
+  @Test
+  public void streamBegunAtAnUnknownSoftwareVersionDoesNotGoOnAtTheOnlyKnownOne() {
+    fixture.book.versions().assumeNoEarlierStreams();
+    list(startedAt(engine("e1", "v1"), 10));
+    advanceUntilNotMixed();
+    fixture.book.onIncarnationReported("e1", 20);
+    beginStream(new RecordingSink());
+    fixture.book.put(startedAt(engine("e2", "v1"), 10), 3);
+    assertEquals(resume().log.toString(), "refused STREAM_NOT_RESUMABLE");
+    assertEquals(fixture.transport.sends.size(), 1);
+  }
+
   /** A server that keeps its id over restarts may have started again as another version. */
   @Test
   public void streamDoesNotGoOnAtAServerThatHasJustLostItsConnections() {
@@ -271,6 +283,13 @@
     assertEquals(fixture.transport.sends.size(), 2);
   }
 
+  private void advanceUntilNotMixed() {
+    while (fixture.book.versions().isMixed("engines")) {
+      fixture.loop.advance(1_000);
+      fixture.book.refreshVersions();
+    }
+  }
+
   /** Lets the VM save up retries. */
   private void serveRequests(int count) {
     for (int i = 0; i < count; i++) {
