Streams: log and count how the origin of a resumed stream was found

No decision changes.

DecisionLogTest, StreamOriginsTest, StreamVersionTest and EntryProcessTest are green.

--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/DecisionLog.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/DecisionLog.java
@@ -18,12 +18,16 @@
 import org.landingtrack.ErrorKind;
 import org.landingtrack.internal.quarantine.Quarantine.Suspicion;
 import org.landingtrack.internal.serving.ServingState.UpdateSource;
+import org.landingtrack.internal.streams.OriginSearchResult;
 
 /**
  * Receives each decision about a request and each change of this VM's view of servers,
  * configuration and weights. Called on the event loop.
  */
 public interface DecisionLog {
+  /** Called when the search for the origin of a stream that a caller resumes has ended. */
+  void originSearched(RequestRun run, OriginSearchResult found);
+
   /** Called when a request is sent to a backend server. */
   void routed(RequestRun run, RoutingDecision facts);
 
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/MeteredDecisionLog.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/MeteredDecisionLog.java
@@ -21,6 +21,7 @@
 import org.landingtrack.internal.base.Metrics;
 import org.landingtrack.internal.quarantine.Quarantine.Suspicion;
 import org.landingtrack.internal.serving.ServingState.UpdateSource;
+import org.landingtrack.internal.streams.OriginSearchResult;
 
 /**
  * Counts decisions in metrics and forwards them to another log. The number of label values is
@@ -79,6 +80,11 @@
             "landingtrack_answer_seconds", "Time to the end of a response.", "service");
   }
 
+  @Override
+  public void originSearched(RequestRun run, OriginSearchResult found) {
+    delegate.originSearched(run, found);
+  }
+
   @Override
   public void routed(RequestRun run, RoutingDecision decision) {
     delegate.routed(run, decision);
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/RateLimitedDecisionLog.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/RateLimitedDecisionLog.java
@@ -23,6 +23,7 @@
 import org.landingtrack.internal.quarantine.Quarantine.Change;
 import org.landingtrack.internal.quarantine.Quarantine.Suspicion;
 import org.landingtrack.internal.serving.ServingState.UpdateSource;
+import org.landingtrack.internal.streams.OriginSearchResult;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -65,6 +66,11 @@
     this.windowStartMs = loop.millis();
   }
 
+  @Override
+  public void originSearched(RequestRun run, OriginSearchResult found) {
+    delegate.originSearched(run, found);
+  }
+
   @Override
   public void routed(RequestRun run, RoutingDecision decision) {
     List<RoutingDecision> earlier = bufferedDecisions.get(run);
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
@@ -26,6 +26,7 @@
 import org.landingtrack.internal.serving.BackendTransport.ResponseHead;
 import org.landingtrack.internal.serving.BackendTransport.StreamEvent;
 import org.landingtrack.internal.serving.Route.RetryMode;
+import org.landingtrack.internal.streams.OriginSearchResult;
 import org.landingtrack.internal.streams.StreamKey;
 import org.landingtrack.internal.streams.StreamOrigin;
 
@@ -120,7 +121,7 @@
     service = matched.serviceFor(Hashes.placement(request.splitKey()));
     if (matched.streaming() && request.resumeAfter() != null) {
       streamKey = StreamKey.of(teamName(), request.resumes());
-      serving.state().streams().find(streamKey, service, origin -> resume(matched, origin));
+      serving.state().streams().find(streamKey, service, found -> resume(matched, found));
       return;
     }
     streamKey = StreamKey.of(teamName(), request.id());
@@ -128,10 +129,12 @@
   }
 
   /** Continues a stream that the caller resumes, at the service and version that began it. */
-  private void resume(Route matched, @Nullable StreamOrigin origin) {
+  private void resume(Route matched, OriginSearchResult found) {
     if (done) {
       return;
     }
+    serving.log().originSearched(this, found);
+    StreamOrigin origin = found.origin();
     if (origin == null) {
       refuse(
           ErrorKind.STREAM_NOT_RESUMABLE,
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/StructuredDecisionLog.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/StructuredDecisionLog.java
@@ -22,6 +22,8 @@
 import org.landingtrack.ErrorKind;
 import org.landingtrack.internal.quarantine.Quarantine.Suspicion;
 import org.landingtrack.internal.serving.ServingState.UpdateSource;
+import org.landingtrack.internal.streams.OriginSearchResult;
+import org.landingtrack.internal.streams.StreamOrigin;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.slf4j.event.Level;
@@ -49,6 +51,26 @@
         .addKeyValue("ageMs", ageMs);
   }
 
+  @Override
+  public void originSearched(RequestRun run, OriginSearchResult found) {
+    StreamOrigin origin = found.origin();
+    LoggingEventBuilder event =
+        requestEvent(run, Level.INFO)
+            .addKeyValue("resumes", String.valueOf(run.request().resumes()))
+            .addKeyValue("source", found.source())
+            .addKeyValue("searchMs", found.tookMs());
+    if (!found.vm().isEmpty()) {
+      event = event.addKeyValue("replyOf", found.vm());
+    }
+    if (origin != null) {
+      event =
+          event
+              .addKeyValue("originService", origin.service())
+              .addKeyValue("softwareVersion", origin.softwareVersion());
+    }
+    event.log("stream origin");
+  }
+
   @Override
   public void routed(RequestRun run, RoutingDecision decision) {
     LoggingEventBuilder event =
--- a/landingtrack/src/main/java/org/landingtrack/internal/streams/StreamOrigins.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/streams/StreamOrigins.java
@@ -17,6 +17,7 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -28,6 +29,7 @@
 import org.jspecify.annotations.Nullable;
 import org.landingtrack.internal.loads.PeerLoads;
 import org.landingtrack.internal.serving.EventLoop;
+import org.landingtrack.internal.streams.OriginSearchResult.Source;
 import org.landingtrack.internal.streams.StreamMessage.Announcement;
 import org.landingtrack.internal.streams.StreamMessage.HistoryQuery;
 import org.landingtrack.internal.streams.StreamMessage.HistoryReply;
@@ -88,7 +90,7 @@
   private BooleanSupplier isCurrent = () -> true;
   private boolean isStarted;
   private long historyQueriesEndMs;
-  private long unknown;
+  private final Map<Source, Long> results = new EnumMap<>(Source.class);
 
   /** Sends datagrams to other VMs. Called on the event loop. */
   @FunctionalInterface
@@ -101,11 +103,13 @@
   private static final class Search {
     private final OriginQuery query;
     private final Set<String> unanswered;
-    private final List<Consumer<@Nullable StreamOrigin>> listeners = new ArrayList<>();
+    private final List<Consumer<OriginSearchResult>> listeners = new ArrayList<>();
+    private final long startedAtMs;
 
-    Search(OriginQuery query, List<String> vms) {
+    Search(OriginQuery query, List<String> vms, long startedAtMs) {
       this.query = query;
       this.unanswered = new HashSet<>(vms);
+      this.startedAtMs = startedAtMs;
     }
   }
 
@@ -201,48 +205,58 @@
    *
    * @param key the stream, or null if the caller does not name it
    * @param service the service at which the stream would go on without a known origin
-   * @param listener receives the origin, or null if it is unknown; called at once or within {@link
-   *     #SEARCH_TIMEOUT_MS}, and while this VM knows no other one after its start, within {@link
-   *     #START_TIMEOUT_MS} more
+   * @param listener receives the result at once or within {@link #SEARCH_TIMEOUT_MS}, and while
+   *     this VM knows no other one after its start, within {@link #START_TIMEOUT_MS} more
    */
-  public void find(
-      @Nullable StreamKey key, String service, Consumer<@Nullable StreamOrigin> listener) {
-    StreamOrigin known = key == null ? onlyOrigin(service) : findHere(key, service);
+  public void find(@Nullable StreamKey key, String service, Consumer<OriginSearchResult> listener) {
+    StreamOrigin known = key == null ? null : table.find(key);
+    StreamOrigin only = known == null ? onlyOrigin(service) : null;
     if (known != null) {
-      listener.accept(known);
+      report(known, Source.KNOWN, "", 0, listener);
+    } else if (only != null) {
+      report(only, Source.ONLY_VERSION, "", 0, listener);
     } else if (key == null) {
-      unknown++;
-      listener.accept(null);
+      report(null, Source.UNKNOWN, "", 0, listener);
     } else {
-      search(key, service, listener, loop.millis() + START_TIMEOUT_MS);
+      search(key, service, listener, loop.millis());
     }
   }
 
-  /** Asks other VMs, or waits until {@code waitUntilMs} if this VM starts and knows none. */
+  private void report(
+      @Nullable StreamOrigin origin,
+      Source source,
+      String vm,
+      long tookMs,
+      Consumer<OriginSearchResult> listener) {
+    results.merge(source, 1L, Long::sum);
+    listener.accept(new OriginSearchResult(origin, source, vm, tookMs));
+  }
+
+  /** Asks other VMs, or waits for {@link #START_TIMEOUT_MS} if this VM starts and knows none. */
   private void search(
-      StreamKey key, String service, Consumer<@Nullable StreamOrigin> listener, long waitUntilMs) {
+      StreamKey key, String service, Consumer<OriginSearchResult> listener, long startedAtMs) {
     Search running = searches.get(key);
     if (running != null) {
       running.listeners.add(listener);
       return;
     }
     List<String> vms = peers.responsibleVms(key.hash(), MAX_ASKED_VMS);
+    long waitUntilMs = startedAtMs + START_TIMEOUT_MS;
     boolean isStarting = loop.millis() < Math.min(waitUntilMs, historyQueriesEndMs);
     if (vms.isEmpty() && isStarting) {
-      loop.schedule(RETRY_MS, () -> search(key, service, listener, waitUntilMs));
+      loop.schedule(RETRY_MS, () -> search(key, service, listener, startedAtMs));
       return;
     }
     if (vms.isEmpty() || searches.size() >= MAX_SEARCHES) {
-      unknown++;
-      listener.accept(null);
+      report(null, Source.UNKNOWN, "", loop.millis() - startedAtMs, listener);
       return;
     }
-    Search search = new Search(new OriginQuery(peers.address(), key, service), vms);
+    Search search = new Search(new OriginQuery(peers.address(), key, service), vms, startedAtMs);
     search.listeners.add(listener);
     searches.put(key, search);
     send(search.query, vms);
     loop.schedule(RETRY_MS, () -> askAgain(search));
-    loop.schedule(SEARCH_TIMEOUT_MS, () -> end(search, null));
+    loop.schedule(SEARCH_TIMEOUT_MS, () -> end(search, null, ""));
   }
 
   private void askAgain(Search search) {
@@ -251,12 +265,13 @@
     }
   }
 
-  private void end(Search search, @Nullable StreamOrigin origin) {
+  private void end(Search search, @Nullable StreamOrigin origin, String vm) {
     if (!searches.remove(search.query.key(), search)) {
       return;
     }
-    unknown += origin == null ? 1 : 0;
-    search.listeners.forEach(listener -> listener.accept(origin));
+    Source source = origin == null ? Source.UNKNOWN : Source.OTHER_VM;
+    long tookMs = loop.millis() - search.startedAtMs;
+    search.listeners.forEach(listener -> report(origin, source, vm, tookMs, listener));
   }
 
   private @Nullable StreamOrigin findHere(StreamKey key, String service) {
@@ -320,7 +335,7 @@
     }
     search.unanswered.remove(reply.sender());
     if (reply.origin() != null || search.unanswered.isEmpty()) {
-      end(search, reply.origin());
+      end(search, reply.origin(), reply.sender());
     }
   }
 
@@ -334,8 +349,8 @@
     return table.size();
   }
 
-  /** Returns how many resumed streams had an unknown origin since the start. */
-  public long unknownCount() {
-    return unknown;
+  /** Returns how many searches since the start had a result of a kind. */
+  public long resultCount(Source source) {
+    return results.getOrDefault(source, 0L);
   }
 }
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/DecisionLogTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/DecisionLogTest.java
@@ -100,6 +100,24 @@
     }
   }
 
+  @Test
+  public void theOriginOfAResumedStreamIsLoggedWithItsSource() throws Exception {
+    try (CapturedLogLines captured = new CapturedLogLines()) {
+      ServingFixture world = new ServingFixture();
+      world.serveResumed("/chat/x", "7", "id-0");
+      List<JsonNode> found = new ArrayList<>();
+      for (JsonNode line : parse(captured.lines())) {
+        if (line.path("event").asText().equals("stream origin")) {
+          found.add(line);
+        }
+      }
+      assertEquals(found.size(), 1);
+      assertEquals(found.get(0).path("resumes").asText(), "id-0");
+      assertEquals(found.get(0).path("source").asText(), "UNKNOWN");
+      assertTrue(found.get(0).has("searchMs"));
+    }
+  }
+
   /** Retries of a caller have different ids, but the log lines show that they are one request. */
   @Test
   public void anAttemptInDoubtIsLoggedWithTheRequestsDigest() throws Exception {
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/NoOpDecisionLog.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/NoOpDecisionLog.java
@@ -18,9 +18,13 @@
 import org.landingtrack.ErrorKind;
 import org.landingtrack.internal.quarantine.Quarantine.Suspicion;
 import org.landingtrack.internal.serving.ServingState.UpdateSource;
+import org.landingtrack.internal.streams.OriginSearchResult;
 
 /** Discards all decisions; for simulations of whole fleets, whose log lines nobody reads. */
 final class NoOpDecisionLog implements DecisionLog {
+  @Override
+  public void originSearched(RequestRun run, OriginSearchResult found) {}
+
   @Override
   public void routed(RequestRun run, RoutingDecision decision) {}
 
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/ServingFixture.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/ServingFixture.java
@@ -222,4 +222,30 @@
     serving.serve(request(path, key), sink);
     return sink;
   }
+
+  /**
+   * Serves a request that resumes a stream.
+   *
+   * @param resumes the id of the request that began the stream, or null if it is not named
+   */
+  RecordingSink serveResumed(String path, String lastEventId, @Nullable String resumes) {
+    CallerRequest began = request(path, KEY);
+    RecordingSink sink = new RecordingSink();
+    serving.serve(
+        new CallerRequest(
+            "id-2",
+            began.method(),
+            began.host(),
+            began.target(),
+            began.headers(),
+            began.body(),
+            began.deadlineMs(),
+            began.key(),
+            began.prompt(),
+            lastEventId,
+            resumes,
+            loop.millis()),
+        sink);
+    return sink;
+  }
 }
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/StreamVersionTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/StreamVersionTest.java
@@ -112,23 +112,7 @@
   }
 
   private RecordingSink resume(@Nullable String firstRequestId) {
-    CallerRequest began = fixture.request("/chat/x", ServingFixture.KEY);
-    RecordingSink sink = new RecordingSink();
-    fixture.serving.serve(
-        new CallerRequest(
-            "id-2",
-            began.method(),
-            began.host(),
-            began.target(),
-            began.headers(),
-            began.body(),
-            began.deadlineMs(),
-            began.key(),
-            began.prompt(),
-            "1",
-            firstRequestId,
-            fixture.loop.millis()),
-        sink);
+    RecordingSink sink = fixture.serveResumed("/chat/x", "1", firstRequestId);
     fixture.loop.advance(1);
     return sink;
   }
--- a/landingtrack/src/test/java/org/landingtrack/internal/streams/LateStreamMessageTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/streams/LateStreamMessageTest.java
@@ -46,7 +46,7 @@
     asking.isCut = true;
     fleet.loop.advance(10);
     asking.isCut = false;
-    asking.origins.find(KEY, OriginVms.SERVICE, found::add);
+    asking.origins.find(KEY, OriginVms.SERVICE, result -> found.add(result.origin()));
     for (OriginVm replies : fleet.vms.subList(1, 3)) {
       byte[] late = StreamMessageCodec.encode(new OriginReply(replies.peers.address(), KEY, null));
       asking.origins.decode(late, late.length).run();
--- a/landingtrack/src/test/java/org/landingtrack/internal/streams/OriginVms.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/streams/OriginVms.java
@@ -87,7 +87,7 @@
     /** Looks an origin up; returns it, or null if it is unknown. */
     @Nullable StreamOrigin find(StreamKey key) {
       List<@Nullable StreamOrigin> found = new ArrayList<>();
-      origins.find(key, SERVICE, found::add);
+      origins.find(key, SERVICE, result -> found.add(result.origin()));
       long timeoutMs = StreamOrigins.SEARCH_TIMEOUT_MS;
       if (peers.responsibleVms(key.hash(), 1).isEmpty()) {
         timeoutMs += StreamOrigins.START_TIMEOUT_MS;
--- a/landingtrack/src/test/java/org/landingtrack/internal/streams/StreamOriginsTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/streams/StreamOriginsTest.java
@@ -119,7 +119,7 @@
     started.start();
     fleet.list(started, "v1", "v2");
     List<StreamOrigin> found = new ArrayList<>();
-    started.origins.find(key(1), OriginVms.SERVICE, found::add);
+    started.origins.find(key(1), OriginVms.SERVICE, result -> found.add(result.origin()));
     fleet.loop.advance(300);
     assertEquals(found, List.of(), "no other VM is known yet");
     fleet.gossip();
@@ -133,11 +133,11 @@
     fleet.list("v1", "v2");
     OriginVm alone = fleet.vms.get(0);
     List<@Nullable StreamOrigin> found = new ArrayList<>();
-    alone.origins.find(key(1), OriginVms.SERVICE, found::add);
+    alone.origins.find(key(1), OriginVms.SERVICE, result -> found.add(result.origin()));
     fleet.loop.advance(StreamOrigins.START_TIMEOUT_MS + StreamOrigins.RETRY_MS);
     assertEquals(found, Collections.singletonList(null));
     fleet.loop.advance(StreamOrigins.HISTORY_QUERY_WINDOW_MS);
-    alone.origins.find(key(1), OriginVms.SERVICE, found::add);
+    alone.origins.find(key(1), OriginVms.SERVICE, result -> found.add(result.origin()));
     assertEquals(found.size(), 2, "at once: it is no longer starting");
   }
 
@@ -147,7 +147,7 @@
     fleet.list("v1", "v2");
     long before = fleet.loop.millis();
     List<StreamOrigin> found = new ArrayList<>();
-    fleet.vms.get(0).origins.find(key(1), OriginVms.SERVICE, found::add);
+    fleet.vms.get(0).origins.find(key(1), OriginVms.SERVICE, result -> found.add(result.origin()));
     fleet.loop.advance(5);
     assertEquals(found.size(), 1, "all VMs replied, so nothing is left to wait for");
     assertNull(found.get(0));
