Streams: derive an origin only from a list read after the request came

Callers saw events of two software versions in one stream (ORDER): a VM that was cut off, or whose list was late, took the only version of its list for the origin of each stream that it did not know. It counted as current for 6 s after an answer of the store, or while it heard any other VM, which may be as outdated; and it passed its conclusion on to VMs that asked it.

The class: a conclusion from what is missing, whose age nobody compared with what it was used for. Changes: - An origin is derived only after a read of the store that began after the request came: the changes since the feed's last read, the list, and the configuration (StoreConfirmation). Without it the origin is unknown. - Each stream is announced, to two VMs while its service has one version, so that it can go on also if its VM stands still while a version joins, or the store is away. Until now such streams were refused (LOST). - VMs reply with streams that they know, not with conclusions.

The trailing ids are ignored by VMs of the release before. Their replies may still be conclusions.

--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/PeerLoads.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/PeerLoads.java
@@ -102,7 +102,6 @@
   private final long createdAtMs;
   private int maxKnownVms = 1;
   private boolean receivedAnyMessage;
-  private long lastReceivedAtMs;
 
   private static final class Peer {
     private final Vm vm;
@@ -168,7 +167,6 @@
     peer.sequence = message.sequence();
     peer.receivedAtMs = now;
     receivedAnyMessage = true;
-    lastReceivedAtMs = now;
     peer.kind = message.kind();
     peer.loads = message.loads();
     fleet.recordMessage(message.sender(), now);
@@ -330,11 +328,6 @@
     return fleet.highestWeights(key, count, ticker.millis());
   }
 
-  /** Returns true if a message of any VM arrived within a time, in milliseconds. */
-  public boolean receivedWithin(long ms) {
-    return receivedAnyMessage && ticker.millis() - lastReceivedAtMs <= ms;
-  }
-
   /** Returns the loads for a message of a kind, and records the load that this VM reports. */
   List<Load> loadsFor(Kind kind, List<Load> own) {
     if (kind == Kind.OWN) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerRegistry.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerRegistry.java
@@ -71,6 +71,7 @@
   private ToLongFunction<String> coldStartMs = service -> 0;
   private Predicate<String> isConfiguredService = service -> true;
   private boolean isLoaded;
+  private long appliedRevision;
   private final ServiceVersions versions;
 
   /**
@@ -241,6 +242,10 @@
     isLoaded = true;
     long listedAtMs = loop.millis();
     outages.listed();
+    recordAppliedRevision(revision);
+    if (!isInitial) {
+      versions.restartHistory();
+    }
     Set<String> listed = new HashSet<>();
     for (ServerEntry entry : entries) {
       listed.add(entry.id());
@@ -274,6 +279,26 @@
     }
   }
 
+  /** Records the software versions of servers that the store lists now, and nothing else. */
+  public void recordVersions(Collection<ServerEntry> entries) {
+    entries.forEach(entry -> recordVersion(entry, false));
+  }
+
+  /** Records that all changes of entries up to a revision of the store have been applied. */
+  public void recordAppliedRevision(long revision) {
+    appliedRevision = Math.max(appliedRevision, revision);
+  }
+
+  /** Returns the revision of the store up to which all changes have been applied. */
+  public long appliedRevision() {
+    return appliedRevision;
+  }
+
+  /** Returns true if this VM knows an entry, or knew it a short time ago. */
+  public boolean knows(String id) {
+    return backends.containsKey(id);
+  }
+
   /** Returns the software versions of the services. */
   public ServiceVersions versions() {
     return versions;
@@ -412,7 +437,12 @@
   /** Applies the removal of an entry; {@code sinceMs} is the earliest time of the removal. */
   public void remove(String id, long revision, long sinceMs) {
     Backend backend = backends.get(id);
-    if (backend == null || backend.isRemoved()) {
+    if (backend == null) {
+      // It came and left between two reads.
+      versions.restartHistory();
+      return;
+    }
+    if (backend.isRemoved()) {
       return;
     }
     backend.markRemoved(sinceMs, loop.millis());
--- a/landingtrack/src/main/java/org/landingtrack/internal/streams/ServiceVersions.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/streams/ServiceVersions.java
@@ -23,6 +23,8 @@
 import org.jspecify.annotations.Nullable;
 import org.landingtrack.internal.base.Ticker;
 import org.landingtrack.internal.loads.GossipExchange;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Tracks which software versions the servers of each service have or had recently. A service with
@@ -44,10 +46,12 @@
   /** Bound of services that are known from other VMs only. */
   private static final int MAX_SERVICES = 256;
 
+  private static final Logger log = LoggerFactory.getLogger("streams");
+
   private final Ticker ticker;
   private final Map<String, Service> services = new HashMap<>();
   private Consumer<String> mixedListener = service -> {};
-  private Runnable firstListListener = () -> {};
+  private Runnable historyStartListener = () -> {};
   private long historySinceMs;
   private boolean hasListed;
   private boolean isFirstStart;
@@ -71,9 +75,9 @@
     mixedListener = listener;
   }
 
-  /** Sets the listener for the first list of servers. */
-  void onFirstList(Runnable listener) {
-    firstListListener = listener;
+  /** Sets the listener that is called when the history starts: at the first list and after gaps. */
+  void onHistoryStart(Runnable listener) {
+    historyStartListener = listener;
   }
 
   /**
@@ -97,7 +101,22 @@
     if (!isFirstStart) {
       historySinceMs = now;
     }
-    firstListListener.run();
+    historyStartListener.run();
+  }
+
+  /**
+   * Starts the history anew, since versions may have come and gone that this VM has not listed.
+   * Call this when a list does not continue the changes that were read before.
+   */
+  public void restartHistory() {
+    if (!hasListed) {
+      return;
+    }
+    log.atInfo()
+        .addKeyValue("historyMs", historyMs())
+        .log("history of software versions restarted");
+    historySinceMs = ticker.millis();
+    historyStartListener.run();
   }
 
   private void record(String serviceName, String version, boolean isInitial, long seenAtMs) {
@@ -162,7 +181,8 @@
 
   /**
    * Returns the version at which all streams of a service began that may still go on, or null if
-   * there may be several or this VM's history is too short.
+   * there may be several or this VM's history is too short. Valid for streams that began before the
+   * last read of the servers.
    */
   @Nullable String onlyVersion(String serviceName) {
     Service service = services.get(serviceName);
--- a/landingtrack/src/main/java/org/landingtrack/internal/streams/StreamMessage.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/streams/StreamMessage.java
@@ -28,20 +28,36 @@
     }
   }
 
+  /** Stands for no query, in a message of a VM that does not number its queries. */
+  long NO_QUERY = 0;
+
   /**
    * Asks for the origin of a stream.
    *
    * @param sender address to which the reply is sent
    * @param service the service at which the stream would have begun if there is only one
+   * @param queryId identifies the query to its sender
    */
-  record OriginQuery(String sender, StreamKey key, String service) implements StreamMessage {}
-
-  /** Answers a query; the origin is null if it is not known. */
-  record OriginReply(String sender, StreamKey key, @Nullable StreamOrigin origin)
+  record OriginQuery(String sender, StreamKey key, String service, long queryId)
       implements StreamMessage {}
 
-  /** Asks for the history of a VM. */
-  record HistoryQuery(String sender) implements StreamMessage {}
+  /**
+   * Answers a query with what the sender knows about the stream; the origin is null if it does not
+   * know the stream.
+   */
+  record OriginReply(String sender, StreamKey key, @Nullable StreamOrigin origin, long queryId)
+      implements StreamMessage {
+    OriginReply(String sender, StreamKey key, @Nullable StreamOrigin origin) {
+      this(sender, key, origin, NO_QUERY);
+    }
+  }
+
+  /**
+   * Asks for the history of a VM.
+   *
+   * @param queryId identifies the query to its sender
+   */
+  record HistoryQuery(String sender, long queryId) implements StreamMessage {}
 
   /**
    * Tells for how long the sender has known all versions, and which services are mixed.
@@ -49,7 +65,7 @@
    * @param sightings the versions that the sender has listed recently
    */
   record HistoryReply(
-      long historyMs, List<MixedServiceReport> mixed, List<VersionSighting> sightings)
+      long historyMs, List<MixedServiceReport> mixed, List<VersionSighting> sightings, long queryId)
       implements StreamMessage {
     public HistoryReply {
       mixed = List.copyOf(mixed);
--- a/landingtrack/src/main/java/org/landingtrack/internal/streams/StreamMessageCodec.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/streams/StreamMessageCodec.java
@@ -65,14 +65,17 @@
         packer.packString(query.sender());
         packer.packLong(query.key().hash());
         packer.packString(query.service());
+        packer.packLong(query.queryId());
       } else if (message instanceof OriginReply reply) {
         packer.packInt(ORIGIN_REPLY);
         packer.packString(reply.sender());
         packer.packLong(reply.key().hash());
         pack(packer, reply.origin());
+        packer.packLong(reply.queryId());
       } else if (message instanceof HistoryQuery query) {
         packer.packInt(HISTORY_QUERY);
         packer.packString(query.sender());
+        packer.packLong(query.queryId());
       } else if (message instanceof HistoryReply reply) {
         packer.packInt(HISTORY_REPLY);
         packer.packLong(reply.historyMs());
@@ -87,6 +90,7 @@
           packer.packString(sighting.softwareVersion());
           packer.packLong(sighting.agoMs());
         }
+        packer.packLong(reply.queryId());
       }
       return packer.toByteArray();
     } catch (IOException e) {
@@ -114,12 +118,15 @@
       return switch (type) {
         case ANNOUNCEMENT -> new Announcement(streams(unpacker));
         case ORIGIN_QUERY ->
-            new OriginQuery(unpacker.unpackString(), key(unpacker), unpacker.unpackString());
+            new OriginQuery(
+                unpacker.unpackString(), key(unpacker), unpacker.unpackString(), queryId(unpacker));
         case ORIGIN_REPLY ->
-            new OriginReply(unpacker.unpackString(), key(unpacker), origin(unpacker));
-        case HISTORY_QUERY -> new HistoryQuery(unpacker.unpackString());
+            new OriginReply(
+                unpacker.unpackString(), key(unpacker), origin(unpacker), queryId(unpacker));
+        case HISTORY_QUERY -> new HistoryQuery(unpacker.unpackString(), queryId(unpacker));
         case HISTORY_REPLY ->
-            new HistoryReply(unpacker.unpackLong(), mixed(unpacker), sightings(unpacker));
+            new HistoryReply(
+                unpacker.unpackLong(), mixed(unpacker), sightings(unpacker), queryId(unpacker));
         default -> throw new IOException("invalid stream message: unknown type " + type);
       };
     } catch (MessagePackException e) {
@@ -127,6 +134,11 @@
     }
   }
 
+  /** Returns the query's id, which is the last field; a VM of an earlier release sends none. */
+  private static long queryId(MessageUnpacker unpacker) throws IOException {
+    return unpacker.hasNext() ? unpacker.unpackLong() : StreamMessage.NO_QUERY;
+  }
+
   private static StreamKey key(MessageUnpacker unpacker) throws IOException {
     return new StreamKey(unpacker.unpackLong());
   }
--- a/landingtrack/src/main/java/org/landingtrack/internal/streams/StreamOriginTable.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/streams/StreamOriginTable.java
@@ -84,12 +84,12 @@
     return entry == null || isExpired(entry) ? null : entry.origin;
   }
 
-  /** Returns the streams of a service that this VM began or continued itself. */
-  List<KnownStream> localStreams(String service) {
+  /** Returns the streams that this VM began or continued itself. */
+  List<KnownStream> localStreams() {
     List<KnownStream> streams = new ArrayList<>();
     entries.forEach(
         (hash, entry) -> {
-          if (entry.isLocal && entry.origin.service().equals(service) && !isExpired(entry)) {
+          if (entry.isLocal && !isExpired(entry)) {
             streams.add(new KnownStream(new StreamKey(hash), entry.origin));
           }
         });
--- a/landingtrack/src/main/java/org/landingtrack/internal/streams/StreamOrigins.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/streams/StreamOrigins.java
@@ -24,7 +24,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.landingtrack.internal.loads.PeerLoads;
@@ -41,42 +40,50 @@
 
 /**
  * Finds out at which service and software version a stream began. Each VM remembers the streams
- * that it began. While a service is mixed, it announces them to a few VMs that are chosen by
- * rendezvous hashing of the stream, so that a stream can go on after its VM ended. While a service
- * has one version, that version is the origin of all its streams, and nothing is announced.
+ * that it began, and announces them to a few VMs that are chosen by rendezvous hashing of the
+ * stream, so that a stream can go on after its VM ended.
  *
- * <p>A VM that has just started takes over the history of another one. Until it has one, it
- * announces its streams as if all services were mixed.
+ * <p>A stream that no VM knows began at the only version of its service, if there is only one. That
+ * is derived only from lists of servers that this VM has read without a gap, the last of them after
+ * the stream began. A VM that has just started, or has a gap, takes over the history of another
+ * one.
  *
- * <p>What is not known for certain is not assumed: a lost message, a VM without history or a VM
- * without current data makes an origin unknown, but never a wrong one. Used on the event loop only.
+ * <p>What is not known for certain is not assumed: a lost message, a VM without history or a store
+ * that cannot be read makes an origin unknown, but never a wrong one. VMs tell each other only the
+ * streams that they know. Used on the event loop only.
  */
 public final class StreamOrigins {
-  /** VMs to which a stream is announced. */
+  /** VMs to which a stream is announced while its origin cannot be derived. */
   static final int REPLICAS = 3;
 
+  /** VMs to which other streams are announced, for the case that a version joins. */
+  static final int SINGLE_VERSION_REPLICAS = 2;
+
   /** VMs that are asked; more than have it, since views of the fleet and VMs change. */
   static final int MAX_ASKED_VMS = 6;
 
   /** Time after which VMs that have not replied are asked again. */
   static final long RETRY_MS = 50;
 
-  /** Time after which an origin that no VM replied with is unknown. */
+  /** Time for the replies of other VMs. */
   static final long SEARCH_TIMEOUT_MS = 150;
 
+  /** Time for reading the store before an origin is derived. */
+  static final long CONFIRMATION_TIMEOUT_MS = 500;
+
   /**
    * Time for which a VM that has just started waits until it knows other VMs, which it learns
    * within a few rounds of gossip. Without an answer its caller would have to start over.
    */
   static final long START_TIMEOUT_MS = 1_000;
 
-  /** Bound of concurrent searches; further resumed streams count as unknown. */
+  /** Bound of concurrent searches; other VMs are not asked for further streams. */
   static final int MAX_SEARCHES = 256;
 
   /** Interval at which a VM without history asks others for theirs. */
   static final long HISTORY_QUERY_INTERVAL_MS = 200;
 
-  /** Time after its first list for which a VM asks for the history of others. */
+  /** Time after the start of its history for which a VM asks for the history of others. */
   static final long HISTORY_QUERY_WINDOW_MS = 10_000;
 
   private static final Logger log = LoggerFactory.getLogger("streams");
@@ -86,11 +93,19 @@
   private final PeerLoads peers;
   private final StreamOriginTable table;
   private final Map<StreamKey, Search> searches = new HashMap<>();
+  private final Map<Source, Long> results = new EnumMap<>(Source.class);
   private Sender sender = (vm, bytes) -> {};
-  private BooleanSupplier isCurrent = () -> true;
+  private ListConfirmation confirmation = listener -> listener.accept(true);
   private boolean isStarted;
+  private boolean isQueryingHistory;
+  private boolean isAnnouncementPending;
   private long historyQueriesEndMs;
-  private final Map<Source, Long> results = new EnumMap<>(Source.class);
+
+  /** Starts at the clock, so that a restarted process does not use the ids of the earlier one. */
+  private long lastQueryId;
+
+  /** Replies to earlier queries do not cover the time of this VM's last gap. */
+  private long firstHistoryQueryId;
 
   /** Sends datagrams to other VMs. Called on the event loop. */
   @FunctionalInterface
@@ -113,8 +128,50 @@
     }
   }
 
+  /** Derives an origin from the only version of a service. */
+  private final class Derivation {
+    private final String service;
+    private final long startedAtMs;
+    private final Consumer<OriginSearchResult> listener;
+    private boolean hasEnded;
+
+    Derivation(String service, long startedAtMs, Consumer<OriginSearchResult> listener) {
+      this.service = service;
+      this.startedAtMs = startedAtMs;
+      this.listener = listener;
+    }
+
+    void start() {
+      if (versions.onlyVersion(service) == null) {
+        end(false);
+        return;
+      }
+      EventLoop.Timer timeout = loop.schedule(CONFIRMATION_TIMEOUT_MS, () -> end(false));
+      confirmation.confirm(
+          isConfirmed -> {
+            timeout.cancel();
+            end(isConfirmed);
+          });
+    }
+
+    private void end(boolean isConfirmed) {
+      if (hasEnded) {
+        return;
+      }
+      hasEnded = true;
+      String version = isConfirmed ? versions.onlyVersion(service) : null;
+      if (version == null) {
+        report(null, Source.UNKNOWN, "", startedAtMs, listener);
+      } else {
+        StreamOrigin origin = new StreamOrigin(service, version);
+        report(origin, Source.ONLY_VERSION, "", startedAtMs, listener);
+      }
+    }
+  }
+
   /**
-   * Creates the directory of a VM that has begun no stream. It sends nothing before {@link #start}.
+   * Creates the directory of a VM that has begun no stream. Before {@link #start} it sends nothing,
+   * and takes its lists for current.
    *
    * @param peers the other VMs
    */
@@ -123,8 +180,9 @@
     this.versions = versions;
     this.peers = peers;
     this.table = new StreamOriginTable(loop, ServiceVersions.RETENTION_MS);
+    this.lastQueryId = loop.millis();
     versions.onMixed(this::announceAll);
-    versions.onFirstList(this::onFirstList);
+    versions.onHistoryStart(this::onHistoryStart);
   }
 
   /**
@@ -132,31 +190,40 @@
    * history, which a VM that has just started lacks.
    *
    * @param datagramSender sends messages to other VMs
-   * @param currentView returns true while this VM would know of another version of a service, so
-   *     that a service that seems to have one version has one
+   * @param listConfirmation reads the store before an origin is derived from its lists
    */
-  public void start(Sender datagramSender, BooleanSupplier currentView) {
+  public void start(Sender datagramSender, ListConfirmation listConfirmation) {
     sender = datagramSender;
-    isCurrent = currentView;
+    confirmation = listConfirmation;
     isStarted = true;
     historyQueriesEndMs = loop.millis() + HISTORY_QUERY_WINDOW_MS;
     if (versions.hasListed()) {
-      queryHistory();
+      startHistoryQueries();
     }
   }
 
-  private void onFirstList() {
+  private void onHistoryStart() {
+    firstHistoryQueryId = lastQueryId + 1;
     if (isStarted) {
       historyQueriesEndMs = loop.millis() + HISTORY_QUERY_WINDOW_MS;
+      startHistoryQueries();
+    }
+  }
+
+  private void startHistoryQueries() {
+    if (!isQueryingHistory) {
+      isQueryingHistory = true;
       queryHistory();
     }
   }
 
   private void queryHistory() {
     if (versions.hasHistory() || loop.millis() > historyQueriesEndMs) {
+      isQueryingHistory = false;
       return;
     }
-    send(new HistoryQuery(peers.address()), peers.responsibleVms(loop.millis(), REPLICAS));
+    HistoryQuery query = new HistoryQuery(peers.address(), ++lastQueryId);
+    send(query, peers.responsibleVms(loop.millis(), REPLICAS));
     loop.schedule(HISTORY_QUERY_INTERVAL_MS, this::queryHistory);
   }
 
@@ -171,17 +238,58 @@
   /** Records that a stream began or goes on at this VM. Call this before its events are sent. */
   public void recordStart(StreamKey key, StreamOrigin origin) {
     table.put(key, origin, true);
-    if (versions.isMixed(origin.service()) || !versions.hasHistory()) {
-      send(
-          new Announcement(List.of(new KnownStream(key, origin))),
-          peers.responsibleVms(key.hash(), REPLICAS));
+    boolean isDerivable = !versions.isMixed(origin.service()) && versions.hasHistory();
+    int replicas = isDerivable ? SINGLE_VERSION_REPLICAS : REPLICAS;
+    List<String> vms = peers.responsibleVms(key.hash(), replicas);
+    if (vms.isEmpty()) {
+      announceOnceVmsAreKnown();
+    } else {
+      send(new Announcement(List.of(new KnownStream(key, origin))), vms);
     }
   }
 
+  /** Announces the streams of this VM later, if it has just started and knows no other VM yet. */
+  private void announceOnceVmsAreKnown() {
+    if (isAnnouncementPending || loop.millis() >= historyQueriesEndMs) {
+      return;
+    }
+    isAnnouncementPending = true;
+    loop.schedule(RETRY_MS, this::announcePending);
+  }
+
+  private void announcePending() {
+    isAnnouncementPending = false;
+    if (peers.responsibleVms(loop.millis(), 1).isEmpty()) {
+      announceOnceVmsAreKnown();
+      return;
+    }
+    int vms = announce(table.localStreams());
+    log.atInfo()
+        .addKeyValue("vms", vms)
+        .addKeyValue("why", "this VM knew no other VM when the streams began")
+        .log("streams announced to other VMs");
+  }
+
   /** Announces all streams of this VM at a service that has become mixed. */
   private void announceAll(String service) {
+    List<KnownStream> streams = new ArrayList<>();
+    for (KnownStream stream : table.localStreams()) {
+      if (stream.origin().service().equals(service)) {
+        streams.add(stream);
+      }
+    }
+    int vms = announce(streams);
+    log.atInfo()
+        .addKeyValue("service", service)
+        .addKeyValue("vms", vms)
+        .addKeyValue("why", "several software versions, or a route's services changed")
+        .log("streams announced to other VMs");
+  }
+
+  /** Announces streams; returns the number of VMs to which. */
+  private int announce(List<KnownStream> announced) {
     Map<String, List<KnownStream>> byVm = new LinkedHashMap<>();
-    for (KnownStream stream : table.localStreams(service)) {
+    for (KnownStream stream : announced) {
       for (String vm : peers.responsibleVms(stream.key().hash(), REPLICAS)) {
         byVm.computeIfAbsent(vm, name -> new ArrayList<>()).add(stream);
       }
@@ -193,32 +301,28 @@
             send(new Announcement(streams.subList(from, to)), List.of(vm));
           }
         });
-    log.atInfo()
-        .addKeyValue("service", service)
-        .addKeyValue("vms", byVm.size())
-        .addKeyValue("why", "several software versions, or a route's services changed")
-        .log("streams announced to other VMs");
+    return byVm.size();
   }
 
   /**
-   * Finds the origin of a stream.
+   * Finds the origin of a stream: in this VM's memory, in that of other VMs, or by the only version
+   * of its service.
    *
    * @param key the stream, or null if the caller does not name it
    * @param service the service at which the stream would go on without a known origin
-   * @param listener receives the result at once or within {@link #SEARCH_TIMEOUT_MS}, and while
-   *     this VM knows no other one after its start, within {@link #START_TIMEOUT_MS} more
+   * @param listener receives the result at once, or within the sum of {@link #SEARCH_TIMEOUT_MS}
+   *     and {@link #CONFIRMATION_TIMEOUT_MS}; while this VM knows no other one after its start,
+   *     within {@link #START_TIMEOUT_MS} more
    */
   public void find(@Nullable StreamKey key, String service, Consumer<OriginSearchResult> listener) {
+    long now = loop.millis();
     StreamOrigin known = key == null ? null : table.find(key);
-    StreamOrigin only = known == null ? onlyOrigin(service) : null;
     if (known != null) {
-      report(known, Source.KNOWN, "", 0, listener);
-    } else if (only != null) {
-      report(only, Source.ONLY_VERSION, "", 0, listener);
+      report(known, Source.KNOWN, "", now, listener);
     } else if (key == null) {
-      report(null, Source.UNKNOWN, "", 0, listener);
+      new Derivation(service, now, listener).start();
     } else {
-      search(key, service, listener, loop.millis());
+      search(key, service, listener, now);
     }
   }
 
@@ -226,9 +330,10 @@
       @Nullable StreamOrigin origin,
       Source source,
       String vm,
-      long tookMs,
+      long startedAtMs,
       Consumer<OriginSearchResult> listener) {
     results.merge(source, 1L, Long::sum);
+    long tookMs = loop.millis() - startedAtMs;
     listener.accept(new OriginSearchResult(origin, source, vm, tookMs));
   }
 
@@ -243,15 +348,16 @@
     List<String> vms = peers.responsibleVms(key.hash(), MAX_ASKED_VMS);
     long waitUntilMs = startedAtMs + START_TIMEOUT_MS;
     boolean isStarting = loop.millis() < Math.min(waitUntilMs, historyQueriesEndMs);
-    if (vms.isEmpty() && isStarting) {
+    if (vms.isEmpty() && isStarting && versions.onlyVersion(service) == null) {
       loop.schedule(RETRY_MS, () -> search(key, service, listener, startedAtMs));
       return;
     }
     if (vms.isEmpty() || searches.size() >= MAX_SEARCHES) {
-      report(null, Source.UNKNOWN, "", loop.millis() - startedAtMs, listener);
+      new Derivation(service, startedAtMs, listener).start();
       return;
     }
-    Search search = new Search(new OriginQuery(peers.address(), key, service), vms, startedAtMs);
+    OriginQuery query = new OriginQuery(peers.address(), key, service, ++lastQueryId);
+    Search search = new Search(query, vms, startedAtMs);
     search.listeners.add(listener);
     searches.put(key, search);
     send(search.query, vms);
@@ -265,23 +371,21 @@
     }
   }
 
-  private void end(Search search, @Nullable StreamOrigin origin, String vm) {
+  private void end(Search search, @Nullable StreamOrigin reply, String vm) {
     if (!searches.remove(search.query.key(), search)) {
       return;
     }
-    Source source = origin == null ? Source.UNKNOWN : Source.OTHER_VM;
-    long tookMs = loop.millis() - search.startedAtMs;
-    search.listeners.forEach(listener -> report(origin, source, vm, tookMs, listener));
-  }
-
-  private @Nullable StreamOrigin findHere(StreamKey key, String service) {
-    StreamOrigin origin = table.find(key);
-    return origin != null ? origin : onlyOrigin(service);
-  }
-
-  private @Nullable StreamOrigin onlyOrigin(String service) {
-    String version = versions.onlyVersion(service);
-    return version == null || !isCurrent.getAsBoolean() ? null : new StreamOrigin(service, version);
+    // The stream may have been announced to this VM in the meantime.
+    StreamOrigin announced = table.find(search.query.key());
+    for (Consumer<OriginSearchResult> listener : search.listeners) {
+      if (reply != null) {
+        report(reply, Source.OTHER_VM, vm, search.startedAtMs, listener);
+      } else if (announced != null) {
+        report(announced, Source.KNOWN, "", search.startedAtMs, listener);
+      } else {
+        new Derivation(search.query.service(), search.startedAtMs, listener).start();
+      }
+    }
   }
 
   /** Returns true if a datagram holds a message about streams. */
@@ -304,38 +408,61 @@
     if (message instanceof Announcement announcement) {
       announcement.streams().forEach(each -> table.put(each.key(), each.origin(), false));
     } else if (message instanceof OriginQuery query) {
-      StreamOrigin origin = findHere(query.key(), query.service());
-      send(new OriginReply(peers.address(), query.key(), origin), List.of(query.sender()));
+      StreamOrigin origin = table.find(query.key());
+      StreamMessage reply = new OriginReply(peers.address(), query.key(), origin, query.queryId());
+      send(reply, List.of(query.sender()));
     } else if (message instanceof OriginReply reply) {
       onReply(reply);
     } else if (message instanceof HistoryQuery query) {
-      send(historyReply(), List.of(query.sender()));
+      onHistoryQuery(query);
     } else if (message instanceof HistoryReply reply) {
-      versions.receiveReports(reply.mixed());
-      versions.extendHistory(reply.historyMs(), reply.sightings());
+      onHistoryReply(reply);
+    }
+  }
+
+  private void onHistoryQuery(HistoryQuery query) {
+    if (!versions.hasHistory()) {
+      send(historyReply(query, false), List.of(query.sender()));
+      return;
     }
+    confirmation.confirm(
+        isConfirmed -> send(historyReply(query, isConfirmed), List.of(query.sender())));
   }
 
   /** Returns this VM's history, or an empty one if it cannot be told in full. */
-  private HistoryReply historyReply() {
+  private HistoryReply historyReply(HistoryQuery query, boolean isConfirmed) {
     List<VersionSighting> sightings = versions.sightings();
     boolean isWhole =
-        isCurrent.getAsBoolean()
+        isConfirmed
             && sightings.size() <= StreamMessageCodec.MAX_ENTRIES
             && versions.mixedCount() <= ServiceVersions.MAX_REPORTS;
     return isWhole
-        ? new HistoryReply(versions.historyMs(), versions.reportsToSend(), sightings)
-        : new HistoryReply(0, versions.reportsToSend(), List.of());
+        ? new HistoryReply(
+            versions.historyMs(), versions.reportsToSend(), sightings, query.queryId())
+        : new HistoryReply(0, versions.reportsToSend(), List.of(), query.queryId());
+  }
+
+  private void onHistoryReply(HistoryReply reply) {
+    versions.receiveReports(reply.mixed());
+    if (reply.queryId() >= firstHistoryQueryId) {
+      versions.extendHistory(reply.historyMs(), reply.sightings());
+    }
   }
 
+  /** Takes the origin of any reply; only replies to the running search show that a VM has none. */
   private void onReply(OriginReply reply) {
     Search search = searches.get(reply.key());
     if (search == null) {
       return;
     }
-    search.unanswered.remove(reply.sender());
-    if (reply.origin() != null || search.unanswered.isEmpty()) {
+    if (reply.origin() != null) {
       end(search, reply.origin(), reply.sender());
+      return;
+    }
+    if (reply.queryId() == search.query.queryId() && search.unanswered.remove(reply.sender())) {
+      if (search.unanswered.isEmpty()) {
+        end(search, null, "");
+      }
     }
   }
 
--- a/landingtrack/src/test/java/org/landingtrack/internal/streams/LateStreamMessageTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/streams/LateStreamMessageTest.java
@@ -22,6 +22,7 @@
 import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.landingtrack.internal.streams.OriginVms.OriginVm;
+import org.landingtrack.internal.streams.StreamMessage.HistoryReply;
 import org.landingtrack.internal.streams.StreamMessage.OriginReply;
 import org.testng.annotations.Test;
 
@@ -68,6 +69,25 @@
     fleet.list(started, "v2");
     fleet.gossip();
     fleet.loop.advance(StreamOrigins.HISTORY_QUERY_INTERVAL_MS * 3);
+    assertNull(started.find(StreamKey.of("team", "not announced")));
+  }
+
+  @Test
+  public void historyThatWasToldBeforeAGapIsNotTakenOver() throws Exception {
+    OriginVms fleet = new OriginVms(2, 0, 1);
+    fleet.gossip();
+    fleet.list("v1");
+    OriginVm started = fleet.add();
+    started.start();
+    fleet.list(started, "v1");
+    long queryId = fleet.loop.millis();
+    fleet.gossip();
+    started.versions.restartHistory();
+    fleet.vms.forEach(vm -> vm.isCut = true);
+    HistoryReply late =
+        new HistoryReply(ServiceVersions.RETENTION_MS, List.of(), List.of(), queryId);
+    byte[] bytes = StreamMessageCodec.encode(late);
+    started.origins.decode(bytes, bytes.length).run();
     assertNull(started.find(KEY));
   }
 }
