Quarantine archive: an odd stored request costs only itself

Seen: a stored object that is JSON null ended the read, and each write, with a NullPointerException, so that the VM read and stored no quarantined request. One odd request in the list discarded all others, and the next write removed them from the store: each could crash three more servers after the loss of all VMs.

Cause: Json.read returned null for the text "null", although its type says otherwise; the list was decoded as one value. Change: Json.read rejects null like any text that does not fit; the requests are decoded one by one.

--- a/landingtrack/src/main/java/org/landingtrack/internal/base/Json.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/base/Json.java
@@ -21,6 +21,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.SerializationFeature;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import org.jspecify.annotations.Nullable;
 import org.landingtrack.ErrorKind;
 import org.landingtrack.LandingtrackException;
 
@@ -56,15 +57,21 @@
    * Reads a value strictly.
    *
    * @param source names the text in the error message
-   * @throws LandingtrackException with {@code BAD_REQUEST} if the text does not fit the type
+   * @throws LandingtrackException with {@code BAD_REQUEST} if the text does not fit the type, or is
+   *     null
    */
   public static <T> T read(String source, String json, Class<T> type) {
+    @Nullable T value;
     try {
-      return STRICT.readValue(json, type);
+      value = STRICT.readValue(json, type);
     } catch (JsonProcessingException e) {
       throw new LandingtrackException(
           ErrorKind.BAD_REQUEST, source + ": " + firstLine(e.getOriginalMessage()), e);
     }
+    if (value == null) {
+      throw new LandingtrackException(ErrorKind.BAD_REQUEST, source + ": the value is null");
+    }
+    return value;
   }
 
   private static String firstLine(String message) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/base/JsonSlice.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/base/JsonSlice.java
@@ -76,6 +76,11 @@
     return isPresent() && document.charAt(start) == c;
   }
 
+  /** Returns the number of characters of the value as it is written. */
+  public int length() {
+    return end - start;
+  }
+
   /** Returns the elements of an array; none if this is another value. */
   public JsonCursor elements() {
     return cursor(isArray(), false);
--- a/landingtrack/src/main/java/org/landingtrack/internal/quarantine/QuarantineArchive.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/quarantine/QuarantineArchive.java
@@ -15,6 +15,7 @@
  */
 package org.landingtrack.internal.quarantine;
 
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -22,8 +23,11 @@
 import java.util.concurrent.Executor;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
+import org.landingtrack.ErrorKind;
 import org.landingtrack.LandingtrackException;
 import org.landingtrack.internal.base.Json;
+import org.landingtrack.internal.base.JsonCursor;
+import org.landingtrack.internal.base.JsonSlice;
 import org.landingtrack.internal.platform.ObjectApi;
 import org.landingtrack.internal.platform.ObjectApi.CallClass;
 import org.landingtrack.internal.platform.PlatformException;
@@ -60,6 +64,9 @@
   /** Attempts of a write that conflicts with other VMs' writes, before {@link #RETRY_MS} passes. */
   private static final int MAX_WRITE_ATTEMPTS = 4;
 
+  /** Most characters of a stored request; one has about 150. */
+  private static final int MAX_REQUEST_CHARS = 4_096;
+
   private static final Logger log = LoggerFactory.getLogger("quarantine");
 
   private final ObjectApi api;
@@ -196,20 +203,47 @@
 
   /**
    * Returns the stored requests; none if there is no object or it is unreadable. The next write
-   * replaces an unreadable object, which identifies no request.
+   * removes what is unreadable, which identifies no request.
    */
   private static List<StoredRequest> parse(Optional<StoredObject> object) {
     if (object.isEmpty()) {
       return List.of();
     }
+    List<StoredRequest> requests = new ArrayList<>();
+    int unreadable = 0;
+    String why = "";
     try {
-      return Json.read(KEY, object.get().value(), Stored.class).requests();
-    } catch (LandingtrackException e) {
+      JsonSlice stored = JsonSlice.of(object.get().value());
+      if (!stored.isObject()) {
+        throw new IOException("the object has no requests");
+      }
+      JsonCursor elements = stored.field("requests").elements();
+      while (elements.next()) {
+        try {
+          requests.add(parseRequest(elements.value()));
+        } catch (LandingtrackException e) {
+          unreadable++;
+          why = e.getMessage();
+        }
+      }
+    } catch (IOException e) {
+      unreadable++;
+      why = e.getMessage();
+    }
+    if (unreadable > 0) {
       log.warn(
-          "Quarantined requests in the store cannot be read and will be overwritten: {}.",
-          e.getMessage());
-      return List.of();
+          "{} quarantined requests in the store cannot be read and will be overwritten: {}.",
+          unreadable,
+          why);
+    }
+    return requests;
+  }
+
+  private static StoredRequest parseRequest(JsonSlice request) {
+    if (request.length() > MAX_REQUEST_CHARS) {
+      throw new LandingtrackException(ErrorKind.BAD_REQUEST, KEY + ": a request is too long");
     }
+    return Json.read(KEY, request.json(), StoredRequest.class);
   }
 
   private void save(SuspectReport report) {
--- a/landingtrack/src/test/java/org/landingtrack/internal/quarantine/QuarantineArchiveTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/quarantine/QuarantineArchiveTest.java
@@ -26,6 +26,7 @@
 import org.landingtrack.internal.platform.ObjectApi.CallClass;
 import org.landingtrack.internal.serving.ManualEventLoop;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /**
@@ -136,6 +137,50 @@
     assertTrue(next.isQuarantined(digest(1)));
   }
 
+  @DataProvider
+  public Object[][] oddObjects() {
+    return new Object[][] {
+      {"null"},
+      {"7"},
+      {"{}"},
+      {"{\"requests\":null}"},
+      {"["},
+      {"[".repeat(100_000)},
+      {"{\"requests\":[null"},
+    };
+  }
+
+  /** Guards against a NullPointerException at the start of a VM, which then wrote nothing more. */
+  @Test(dataProvider = "oddObjects")
+  public void unreadableObjectIsReplaced(String odd) {
+    store.write(CallClass.STATUS, QuarantineArchive.KEY, odd, 0);
+    crashThreeServers(startVm(1), digest(1));
+    loop.advance(10_000);
+    assertTrue(startVm(2).isQuarantined(digest(1)));
+  }
+
+  @DataProvider
+  public Object[][] oddRequests() {
+    return new Object[][] {
+      {"null"},
+      {"7"},
+      {"{}"},
+      {"9".repeat(5_000)},
+      {"[".repeat(100_000) + "]".repeat(100_000)},
+      {"{\"digest\":null,\"bodyBytes\":1,\"ended\":[1],\"lastMs\":1}"},
+      {"{\"digest\":\"x\",\"bodyBytes\":1,\"ended\":[null],\"lastMs\":1e400}"},
+    };
+  }
+
+  @Test(dataProvider = "oddRequests")
+  public void oddRequestCostsOnlyItself(String odd) {
+    crashThreeServers(startVm(1), digest(1));
+    loop.advance(10_000);
+    String stored = store.read(CallClass.STATUS, QuarantineArchive.KEY).orElseThrow().value();
+    store.write(CallClass.STATUS, QuarantineArchive.KEY, stored.replace("[{", "[" + odd + ",{"), 1);
+    assertTrue(startVm(2).isQuarantined(digest(1)));
+  }
+
   @Test
   public void expiredAndUnreadableRequestsAreReplaced() {
     crashThreeServers(startVm(1), digest(1));
