Lease: an odd record expires like that of any holder

Seen: a record that is null, no JSON, without a holder, or with a duration or epoch out of range ended each attempt to acquire the lease with an exception, or let it never expire: no VM could do the duty of the lease any more, here the rollout of weights.

Change: such a record counts as that of an unknown holder. It expires after this process's own duration; the next epoch is above the number of writes that the store can have had, and each term is one write, so it is above every earlier epoch. The holder whose record was overwritten stops at its share of the duration as after any lost renewal. Logged once as "entry unreadable".

--- a/landingtrack/src/main/java/org/landingtrack/internal/lease/Lease.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/lease/Lease.java
@@ -17,13 +17,18 @@
 
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.landingtrack.ErrorKind;
+import org.landingtrack.LandingtrackException;
 import org.landingtrack.internal.base.Json;
 import org.landingtrack.internal.base.Ticker;
 import org.landingtrack.internal.base.WaitTicker;
 import org.landingtrack.internal.platform.ObjectApi;
 import org.landingtrack.internal.platform.ObjectApi.CallClass;
 import org.landingtrack.internal.platform.PlatformException;
+import org.landingtrack.internal.platform.Revision;
 import org.landingtrack.internal.platform.StoredObject;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * A lease with a fencing token, stored as a {@link LeaseRecord} in the Object API.
@@ -52,6 +57,14 @@
   /** Number of bits for the epochs within one generation of the store. */
   private static final int EPOCH_BITS = 32;
 
+  /** Most characters of a record; one has about 100. */
+  private static final int MAX_RECORD_CHARS = 4_096;
+
+  /** Stands for the holder of an unreadable record; no process has this name. */
+  private static final String UNKNOWN_HOLDER = "?";
+
+  private static final Logger log = LoggerFactory.getLogger("store");
+
   private final ObjectApi api;
   private final Ticker ticker;
   private final WaitTicker waitTicker;
@@ -64,6 +77,7 @@
   private long previousHolderUntilWaitMs = Long.MIN_VALUE;
   private long generation = -1;
   private long generationSeenAtWaitMs;
+  private boolean isUnreadableLogged;
   private volatile long epoch;
   private volatile long holdUntilMs = Long.MIN_VALUE;
 
@@ -189,7 +203,7 @@
 
   /** Renews the lease if it is held here, or takes it over if it was released or has expired. */
   private void renewOrTakeOver(StoredObject stored) {
-    LeaseRecord record = Json.read(key, stored.value(), LeaseRecord.class);
+    LeaseRecord record = decode(stored);
     recordVersion(stored);
     if (isHeldHere(record)) {
       writeRecord(
@@ -211,6 +225,37 @@
     }
   }
 
+  /**
+   * Decodes a record. One that is unreadable counts as that of an unknown holder: it expires like
+   * any other, and its epoch is taken to be the greatest that the store can have had. Each term was
+   * written once, so no epoch exceeds the number of writes.
+   */
+  private LeaseRecord decode(StoredObject stored) {
+    try {
+      LeaseRecord record = read(stored);
+      if (record.isValid()) {
+        isUnreadableLogged = false;
+        return record;
+      }
+    } catch (LandingtrackException e) {
+      // Handled below, like a record whose values are out of range.
+    }
+    if (!isUnreadableLogged) {
+      isUnreadableLogged = true;
+      log.atWarn().addKeyValue("entry", key).log("entry unreadable");
+    }
+    long generationEpoch = Revision.generation(stored.version()) << EPOCH_BITS;
+    long maxEpoch = generationEpoch + Revision.number(stored.version());
+    return new LeaseRecord(UNKNOWN_HOLDER, Math.max(epoch, maxEpoch), durationMs, 0);
+  }
+
+  private LeaseRecord read(StoredObject stored) {
+    if (stored.value().length() > MAX_RECORD_CHARS) {
+      throw new LandingtrackException(ErrorKind.BAD_REQUEST, key + ": the record is too long");
+    }
+    return Json.read(key, stored.value(), LeaseRecord.class);
+  }
+
   /** Returns how long, by this clock, the holder may rely on a renewal that was just seen. */
   private static long maxHoldMs(LeaseRecord record) {
     return (long) (record.durationMs() * HOLD_SHARE * DRIFT_FACTOR);
--- a/landingtrack/src/main/java/org/landingtrack/internal/lease/LeaseRecord.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/lease/LeaseRecord.java
@@ -23,4 +23,20 @@
  * @param durationMs how long the lease lasts without a renewal, by the observer's own clock
  * @param renewals number of renewals in this term; each renewal changes the record by it
  */
-public record LeaseRecord(String holder, long epoch, long durationMs, long renewals) {}
+public record LeaseRecord(String holder, long epoch, long durationMs, long renewals) {
+  /** Largest epoch; the store's generation is in the bits from the 32nd on. */
+  private static final long MAX_EPOCH = 1L << 60;
+
+  /** Longest duration: an hour. A longer one would end the duty of the lease for all. */
+  private static final long MAX_DURATION_MS = 3_600_000;
+
+  /** Returns true if a process can have written these values. */
+  boolean isValid() {
+    return holder != null
+        && epoch >= 0
+        && epoch <= MAX_EPOCH
+        && durationMs > 0
+        && durationMs <= MAX_DURATION_MS
+        && renewals >= 0;
+  }
+}
--- a/landingtrack/src/test/java/org/landingtrack/internal/lease/LeaseTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/lease/LeaseTest.java
@@ -27,6 +27,7 @@
 import org.landingtrack.internal.base.FakeTicker;
 import org.landingtrack.internal.platform.FakeObjectApi;
 import org.landingtrack.internal.platform.FakeObjectApi.Fault;
+import org.landingtrack.internal.platform.ObjectApi;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -227,4 +228,36 @@
     restarted.acquireOrRenew();
     assertEquals(restarted.token(), OptionalLong.of(2));
   }
+
+  @DataProvider
+  public Object[][] oddRecords() {
+    return new Object[][] {
+      {"null"},
+      {"[]"},
+      {"{\"holder\":null,\"epoch\":1,\"durationMs\":1000,\"renewals\":0}"},
+      {"{\"holder\":\"a\",\"epoch\":9223372036854775807,\"durationMs\":1000,\"renewals\":0}"},
+      {"{\"holder\":\"b\",\"epoch\":1,\"durationMs\":9223372036854775807,\"renewals\":0}"},
+      {"{\"epoch\":" + "9".repeat(5_000) + "}"},
+      {"[".repeat(100_000)},
+    };
+  }
+
+  /** Guards against an odd record that ends the duty of a lease for ever. */
+  @Test(dataProvider = "oddRecords")
+  public void leaseWithAnOddRecordIsTakenOverWithAHigherEpoch(String odd) {
+    FakeTicker ticker = new FakeTicker();
+    FakeObjectApi store = new FakeObjectApi();
+    Lease a = lease(store, ticker, "a");
+    a.acquireOrRenew();
+    long before = a.token().orElseThrow();
+    store.write(ObjectApi.CallClass.LEASE, "leases/duty", odd, 1);
+    Lease b = lease(store, ticker, "b");
+    b.acquireOrRenew();
+    a.acquireOrRenew();
+    assertTrue(b.token().isEmpty(), "taken over while another may hold it");
+    ticker.advance(1_200);
+    b.acquireOrRenew();
+    assertTrue(b.token().orElseThrow() > before);
+    assertTrue(a.token().isEmpty());
+  }
 }
