Streams: do not send events without an id a second time after a retry

Callers got an event twice: a server sent an event with data but no id after the last event that had one, and then its connection broke. The VM resumed the stream within the answer after the last id, and the next server sent that event again. Cause: only events with an id were compared with what the caller has; the place at which a stream is resumed was taken to be the end of what the caller has. Change: after an event with data and no id, a stream is resumable only once an event with an id has followed. Until then its retry is refused and the answer is aborted, so that the caller does not take it for complete. Comments and other blocks without data do not count. Failed before: StreamPiecesTest#eventWithoutAnIdIsNotRepeatedByARetry ("data: a" received twice, the stream complete).

--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/BackendTransport.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/BackendTransport.java
@@ -15,6 +15,7 @@
  */
 package org.landingtrack.internal.serving;
 
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -111,6 +112,14 @@
         return !id.equals(last);
       }
     }
+
+    /** Returns true if the event has data but no id; a stream cannot be resumed right after it. */
+    boolean isUnnumbered() {
+      return id.isEmpty()
+          && new String(bytes, StandardCharsets.ISO_8859_1)
+              .lines()
+              .anyMatch(line -> line.startsWith("data"));
+    }
   }
 
   /**
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/CallerResponse.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/CallerResponse.java
@@ -32,6 +32,7 @@
   private boolean streamStarted;
   private long firstResponseMs = -1;
   private @Nullable String lastEventId;
+  private boolean endsUnnumbered;
 
   CallerResponse(CallerRequest request, CallerSink sink, EventLoop loop) {
     this.request = request;
@@ -53,6 +54,14 @@
     return lastEventId;
   }
 
+  /**
+   * Returns false if the caller has received an event after {@link #lastEventId} that has no id; a
+   * server that resumes the stream would send that event again.
+   */
+  boolean isResumable() {
+    return !endsUnnumbered;
+  }
+
   /**
    * Returns the time from receipt of the request to the first event or the whole body of the
    * response, in milliseconds; -1 if neither has come.
@@ -77,7 +86,9 @@
         return;
       }
       lastEventId = event.id();
+      endsUnnumbered = false;
     }
+    endsUnnumbered |= event.isUnnumbered();
     sink.event(event.bytes());
   }
 
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
@@ -389,7 +389,9 @@
 
   private boolean mayRetry() {
     Route current = route;
-    return current != null && history.mayRetry(current, deadlineAtMs - loop.millis());
+    return current != null
+        && response.isResumable()
+        && history.mayRetry(current, deadlineAtMs - loop.millis());
   }
 
   private boolean tryRetry() {
