--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/StreamVersionTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/StreamVersionTest.java
@@ -125,6 +125,11 @@
       boolean isChat = route.pathPrefix().equals("/chat/");
       routes.add(isChat ? withTargets(route, List.of(targets)) : route);
     }
+    configureRoutes(version, routes);
+  }
+
+  private void configureRoutes(long version, List<Route> routes) {
+    ServingConfig before = ServingFixture.config(version, "plain");
     fixture.state.configure(
         new ServingConfig(
             version,
@@ -203,6 +208,61 @@
     assertEquals(fixture.transport.last().call.serverId(), "f1");
   }
 
+  /** Configures the chat route and, for a part of its paths, another one at another service. */
+  private void configureChatWithSubroute(long version) {
+    ServingConfig before = ServingFixture.config(version, "plain");
+    List<Route> routes = new ArrayList<>();
+    for (Route route : before.routes()) {
+      if (route.pathPrefix().equals("/chat/")) {
+        routes.add(withPrefix(route, "/chat/x", "engines-2"));
+      }
+      routes.add(route);
+    }
+    configureRoutes(version, routes);
+  }
+
+  private static Route withPrefix(Route route, String prefix, String service) {
+    return new Route(
+        prefix,
+        route.host(),
+        prefix,
+        route.retryMode(),
+        route.streaming(),
+        List.of(new Route.Target(service, 1)),
+        route.priority(),
+        route.timeoutMs(),
+        route.targetLatencyMs(),
+        route.maxAttempts(),
+        route.allowsAnonymous(),
+        route.maxEventGapMs());
+  }
+
+  /** Another VM has begun the stream at the service of the shorter prefix, and has ended. */
+  @Test
+  public void streamBegunElsewhereIsNotResumedAtTheServiceOfANewRouteWithALongerPrefix() {
+    list(engine("e1", "v1"), atOtherService(engine("f1", "v1")));
+    fixture.book.versions().assumeNoEarlierStreams();
+    configureChat(2, new Route.Target("engines", 1));
+    advanceUntilNotMixed();
+    configureChatWithSubroute(3);
+    assertEquals(resume().log.toString(), "refused STREAM_NOT_RESUMABLE");
+    assertEquals(fixture.transport.sends.size(), 0);
+  }
+
+  /** Another VM has begun the stream at the service of the longer prefix, and has ended. */
+  @Test
+  public void streamBegunElsewhereIsNotResumedAtTheServiceOfTheRouteThatIsLeft() {
+    list(engine("e1", "v1"), atOtherService(engine("f1", "v1")));
+    fixture.book.versions().assumeNoEarlierStreams();
+    configureChatWithSubroute(2);
+    advanceUntilNotMixed();
+    fixture.loop.advance(ServiceVersions.RETENTION_MS);
+    fixture.book.refreshVersions();
+    configureChat(3, new Route.Target("engines", 1));
+    assertEquals(resume().log.toString(), "refused STREAM_NOT_RESUMABLE");
+    assertEquals(fixture.transport.sends.size(), 0);
+  }
+
   private static ServerEntry startedAt(ServerEntry entry, long startedMs) {
     return new ServerEntry(
         entry.id(),
