Streams: keep the origin of a running stream known

Cause: two times that nothing compared. An origin is remembered for RETENTION_MS from the last head of its stream, and a software version from its last listing, but a stream runs for as long as its route's timeoutMs allows. Change: an event records the origin of its stream anew once the record is half of RETENTION_MS old, announces it to other VMs as a start does, and counts its version as one that serves. A stream that breaks is known for 15 s or more from then on. Left: a stream without any event for more than 15 s isn't recorded anew; callers give such a stream up before.

--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
@@ -27,6 +27,7 @@
 import org.landingtrack.internal.serving.BackendTransport.StreamEvent;
 import org.landingtrack.internal.serving.Route.RetryMode;
 import org.landingtrack.internal.streams.OriginSearchResult;
+import org.landingtrack.internal.streams.ServiceVersions;
 import org.landingtrack.internal.streams.StreamKey;
 import org.landingtrack.internal.streams.StreamOrigin;
 
@@ -43,6 +44,9 @@
   /** The least retry delay that a refused caller is given when no server can take its request. */
   private static final long MIN_RETRY_AFTER_MS = 250;
 
+  /** Age of a recorded origin after which an event records it anew, before it is forgotten. */
+  private static final long ORIGIN_REFRESH_MS = ServiceVersions.RETENTION_MS / 2;
+
   private final Serving serving;
   private final CallerRequest request;
   private final CallerResponse response;
@@ -53,6 +57,8 @@
   private @Nullable Team team;
   private String service = "";
   private @Nullable StreamKey streamKey;
+  private @Nullable StreamOrigin recordedOrigin;
+  private long originRecordedAtMs;
   private long deadlineAtMs;
   private EventLoop.@Nullable Timer deadlineTimer;
   private final OutcomeHandler outcomeHandler = new OutcomeHandler();
@@ -573,8 +579,30 @@
       if (version == null) {
         serving.state().servers().versions().markMixed(service);
       } else if (streamKey != null) {
-        serving.state().streams().recordStart(streamKey, new StreamOrigin(service, version));
+        recordOrigin(streamKey, new StreamOrigin(service, version));
+      }
+    }
+
+    private void recordOrigin(StreamKey key, StreamOrigin origin) {
+      recordedOrigin = origin;
+      originRecordedAtMs = loop.millis();
+      serving.state().streams().recordStart(key, origin);
+    }
+
+    /** Keeps the origin of a running stream known, and its software version one that serves. */
+    private void refreshOrigin() {
+      StreamKey key = streamKey;
+      StreamOrigin origin = recordedOrigin;
+      boolean isDue = loop.millis() - originRecordedAtMs >= ORIGIN_REFRESH_MS;
+      if (key == null || origin == null || !isDue) {
+        return;
       }
+      serving
+          .state()
+          .servers()
+          .versions()
+          .recordListed(origin.service(), origin.softwareVersion(), false);
+      recordOrigin(key, origin);
     }
 
     private void recordFailure(Attempt sent, String why) {
@@ -597,6 +625,7 @@
 
     @Override
     public void event(StreamEvent event) {
+      refreshOrigin();
       response.event(event);
     }
 
