Gossip: an odd address or number of one VM costs only itself

Seen in tests: an address that is none, in one VM's message or in a sighting of it, ended each round of messages on the event loop with an IllegalArgumentException, so that VMs after it in the round got no message, and the roles in the feeds were not updated. An age below 0 is one in the future: a sighting, a backoff, or a hub's report with it would count for ever. Loads near the limits of a long overflow when they are added up.

Change: a message that cannot be sent, for whatever reason, is logged and the round goes on. Ages are at least 0, loads between 0 and 2^31 - 1, and a limit is a finite number.

Open: an address with a host name is looked up on the event loop.

--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/GossipCodec.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/GossipCodec.java
@@ -230,6 +230,24 @@
     return size;
   }
 
+  /** Reads a time or an age; a negative one would never be over. */
+  private static long nonNegative(MessageUnpacker unpacker) throws IOException {
+    return Math.max(0, unpacker.unpackLong());
+  }
+
+  /** Reads a quantity of which VMs add up many; their sum stays in the range of a long. */
+  private static long bounded(MessageUnpacker unpacker) throws IOException {
+    return Math.min(Integer.MAX_VALUE, nonNegative(unpacker));
+  }
+
+  private static double perSecond(MessageUnpacker unpacker) throws IOException {
+    double perSecond = unpacker.unpackDouble();
+    if (!Double.isFinite(perSecond)) {
+      throw new IOException("invalid gossip message: a limit that is no finite number");
+    }
+    return perSecond;
+  }
+
   private static Vm vm(MessageUnpacker unpacker) throws IOException {
     checkFieldCount(unpacker, 3);
     return new Vm(unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackInt());
@@ -239,7 +257,7 @@
     List<Sighting> list = new ArrayList<>();
     for (int remaining = size(unpacker); remaining > 0; remaining--) {
       checkFieldCount(unpacker, 2);
-      list.add(new Sighting(vm(unpacker), unpacker.unpackLong()));
+      list.add(new Sighting(vm(unpacker), nonNegative(unpacker)));
     }
     return list;
   }
@@ -255,11 +273,11 @@
       list.add(
           new Load(
               unpacker.unpackLong(),
-              unpacker.unpackLong(),
-              unpacker.unpackInt(),
-              unpacker.unpackLong(),
-              unpacker.unpackLong(),
-              fields == LOAD_FIELDS ? unpacker.unpackInt() : 0));
+              bounded(unpacker),
+              (int) bounded(unpacker),
+              bounded(unpacker),
+              bounded(unpacker),
+              fields == LOAD_FIELDS ? (int) bounded(unpacker) : 0));
     }
     return list;
   }
@@ -289,7 +307,7 @@
               unpacker.unpackString(),
               unpacker.unpackLong(),
               unpacker.unpackLong(),
-              unpacker.unpackLong()));
+              nonNegative(unpacker)));
     }
     return list;
   }
@@ -315,8 +333,7 @@
     List<LimitReport> list = new ArrayList<>();
     for (int remaining = size(unpacker); remaining > 0; remaining--) {
       checkFieldCount(unpacker, 3);
-      list.add(
-          new LimitReport(unpacker.unpackLong(), unpacker.unpackDouble(), unpacker.unpackLong()));
+      list.add(new LimitReport(unpacker.unpackLong(), perSecond(unpacker), nonNegative(unpacker)));
     }
     return list;
   }
@@ -326,7 +343,7 @@
     for (int remaining = size(unpacker); remaining > 0; remaining--) {
       checkFieldCount(unpacker, 3);
       list.add(
-          new BackoffReport(unpacker.unpackLong(), unpacker.unpackLong(), unpacker.unpackLong()));
+          new BackoffReport(unpacker.unpackLong(), nonNegative(unpacker), nonNegative(unpacker)));
     }
     return list;
   }
@@ -352,7 +369,7 @@
     List<MixedServiceReport> list = new ArrayList<>();
     for (int remaining = size(unpacker); remaining > 0; remaining--) {
       checkFieldCount(unpacker, 2);
-      list.add(new MixedServiceReport(unpacker.unpackString(), unpacker.unpackLong()));
+      list.add(new MixedServiceReport(unpacker.unpackString(), nonNegative(unpacker)));
     }
     return list;
   }
--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/GossipExchange.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/GossipExchange.java
@@ -272,7 +272,8 @@
   public void send(String receiver, byte[] bytes) {
     try {
       socket.send(new DatagramPacket(bytes, bytes.length, Addresses.parse(receiver)));
-    } catch (IOException e) {
+    } catch (IOException | IllegalArgumentException e) {
+      // Also an address that another VM reported, and that is none.
       log.debug("Cannot send the message to {}: {}.", receiver, e.toString());
     }
   }
--- a/landingtrack/src/test/java/org/landingtrack/internal/loads/GossipCodecTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/loads/GossipCodecTest.java
@@ -147,4 +147,64 @@
     }
     assertTrue(rejected > ROUNDS / 2, "rejected messages: " + rejected);
   }
+
+  /** Guards against an age in the future, by which a report would count for ever. */
+  @Test
+  public void numbersOutOfRangeAreBounded() throws IOException {
+    List<?> fields = MessagePack.MAPPER.readValue(GossipCodec.encode(MESSAGE), List.class);
+    List<Object> odd = new ArrayList<>(fields);
+    long min = Long.MIN_VALUE;
+    long max = Long.MAX_VALUE;
+    odd.set(3, List.of(List.of(List.of("10.1.0.2:7580", "hall-b", 36), min)));
+    odd.set(4, List.of(List.of(1, max, max, max, max, max), List.of(2, min, min, min, min, min)));
+    odd.set(6, List.of(List.of("servers", 9, 9, min)));
+    odd.set(9, List.of(List.of(42, min, min)));
+    GossipMessage read = decode(MessagePack.MAPPER.writeValueAsBytes(odd));
+    assertEquals(read.sightings().get(0).agoMs(), 0);
+    int most = Integer.MAX_VALUE;
+    assertEquals(
+        read.loads(),
+        List.of(new Load(1, most, most, most, most, most), new Load(2, 0, 0, 0, 0, 0)));
+    assertEquals(read.feeds().get(0).ageMs(), 0);
+    assertEquals(read.backoffs(), List.of(new BackoffReport(42, 0, 0)));
+  }
+
+  private static Object randomValue(Random random, int depth) {
+    return switch (random.nextInt(depth == 0 ? 7 : 9)) {
+      case 0 -> random.nextLong();
+      case 1 -> random.nextInt(20);
+      case 2 -> new java.math.BigInteger(64, random);
+      case 3 -> random.nextBoolean() ? Double.NaN : Double.MAX_VALUE;
+      case 4 -> random.nextBoolean();
+      case 5 -> "x".repeat(random.nextInt(40));
+      case 6 -> new byte[random.nextInt(5)];
+      default -> randomList(random, random.nextInt(14), depth - 1);
+    };
+  }
+
+  private static List<Object> randomList(Random random, int size, int depth) {
+    List<Object> list = new ArrayList<>();
+    for (int i = 0; i < size; i++) {
+      list.add(randomValue(random, depth));
+    }
+    return list;
+  }
+
+  /** Replaces one field of a message by any value; nothing but an IOException may be thrown. */
+  @Test
+  public void anyValueOfAFieldIsDecodedOrRejected() throws IOException {
+    Random random = new Random(SEED);
+    List<?> fields = MessagePack.MAPPER.readValue(GossipCodec.encode(MESSAGE), List.class);
+    int rejected = 0;
+    for (int round = 0; round < ROUNDS; round++) {
+      List<Object> odd = new ArrayList<>(fields);
+      odd.set(random.nextInt(odd.size()), randomValue(random, 4));
+      try {
+        assertNotNull(decode(MessagePack.MAPPER.writeValueAsBytes(odd)));
+      } catch (IOException e) {
+        rejected++;
+      }
+    }
+    assertTrue(rejected > ROUNDS / 2 && rejected < ROUNDS, "rejected messages: " + rejected);
+  }
 }
--- a/landingtrack/src/test/java/org/landingtrack/internal/loads/GossipExchangeTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/loads/GossipExchangeTest.java
@@ -195,4 +195,24 @@
       }
     }
   }
+
+  /**
+   * Guards against rounds that end at the address of one VM, so that no later one gets a message.
+   */
+  @Test
+  public void oddAddressOfOneVmCostsOnlyItsMessages() throws Exception {
+    ticker.advance(100_000);
+    Vm first = vm();
+    PeerLoads receiver = new PeerLoads(ticker, first);
+    try (GossipExchange receiving = exchange(receiver, 0)) {
+      PeerLoads peers = new PeerLoads(ticker, vm());
+      peers.addCandidates(
+          List.of("", "no address", "127.0.0.1:99999", "127.0.0.1:0", "127.0.0.1:-1"));
+      peers.addCandidates(List.of(first.address()));
+      try (GossipExchange sender = exchange(peers, 7)) {
+        assertTrue(isReportReceived(sender, receiver, 7));
+        assertTrue(isReportReceived(receiving, receiver, 7));
+      }
+    }
+  }
 }
