--- a/landingtrack/src/main/java/org/landingtrack/internal/base/JsonSlice.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/base/JsonSlice.java
@@ -28,6 +28,12 @@
   /** Most characters of a number that fits into a long. */
   private static final int MAX_LONG_CHARS = 20;
 
+  /** Most characters of a number with a fraction. */
+  private static final int MAX_DECIMAL_CHARS = 40;
+
+  /** Doubles below this hold every whole number. */
+  private static final double MAX_EXACT_DOUBLE = 1L << 53;
+
   private static final int HEX_DIGITS = 4;
   private static final int HEX_RADIX = 16;
 
@@ -125,6 +131,25 @@
     }
   }
 
+  /**
+   * Returns the whole part of a number; {@code fallback} if the value is no number in the range of
+   * a long.
+   */
+  public long asWholeNumber(long fallback) {
+    if (!isPresent()
+        || end - start > MAX_DECIMAL_CHARS
+        || Character.isLetter(document.charAt(start))) {
+      return fallback;
+    }
+    try {
+      double value = Double.parseDouble(json());
+      boolean isExact = Math.abs(value) < MAX_EXACT_DOUBLE;
+      return isExact ? (long) value : asLong(fallback);
+    } catch (NumberFormatException e) {
+      return fallback;
+    }
+  }
+
   /** Returns true if the value is {@code true}. */
   public boolean isTrue() {
     return document.regionMatches(start, "true", 0, end - start) && end - start == 4;
