Streams: resume at the right target of a split route

A request that resumes a stream without a prompt chose the target of a split route by its own id, not by that of the request that began the stream. If no VM knew the stream, its origin was derived for the wrong service. Requests that name their stream now have the split key of its first request; unnamed ones without a prompt on a split route are refused, as nothing tells their service.

--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/CallerRequest.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/CallerRequest.java
@@ -79,8 +79,14 @@
     return end < 0 ? target : target.substring(0, end);
   }
 
-  /** Returns the key of the traffic split: all requests of a session go to the same target. */
+  /**
+   * Returns the key of the traffic split: all requests of a session go to the same target, and so
+   * do those that resume a stream.
+   */
   String splitKey() {
-    return prompt == null ? id : prompt.sessionKey();
+    if (prompt != null) {
+      return prompt.sessionKey();
+    }
+    return resumes == null ? id : resumes;
   }
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestRun.java
@@ -127,6 +127,10 @@
     service = matched.serviceFor(Hashes.placement(request.splitKey()));
     if (matched.streaming() && request.resumeAfter() != null) {
       streamKey = StreamKey.of(teamName(), request.resumes());
+      if (streamKey == null && request.prompt() == null && matched.targets().size() > 1) {
+        resume(matched, OriginSearchResult.UNKNOWN_SERVICE);
+        return;
+      }
       serving.state().streams().find(streamKey, service, found -> resume(matched, found));
       return;
     }
--- a/landingtrack/src/main/java/org/landingtrack/internal/streams/OriginSearchResult.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/streams/OriginSearchResult.java
@@ -26,6 +26,10 @@
  */
 public record OriginSearchResult(
     @Nullable StreamOrigin origin, Source source, String vm, long tookMs) {
+  /** The result for a stream whose service is not known either, so that nothing is searched. */
+  public static final OriginSearchResult UNKNOWN_SERVICE =
+      new OriginSearchResult(null, Source.UNKNOWN, "", 0);
+
   /** How an origin was found. */
   public enum Source {
     /** This VM began or continued the stream, or another VM announced it to this one. */
--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/StreamVersionTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/StreamVersionTest.java
@@ -117,6 +117,41 @@
     return sink;
   }
 
+  private CallerRequest withoutPrompt(String id, @Nullable String last, @Nullable String resumes) {
+    return new CallerRequest(
+        id,
+        "POST",
+        "host",
+        "/chat/x",
+        List.of(),
+        new byte[0],
+        1_000,
+        ServingFixture.KEY,
+        null,
+        last,
+        resumes,
+        fixture.loop.millis());
+  }
+
+  @Test
+  public void resumedRequestWithoutAPromptStaysAtItsTargetOfASplitRoute() {
+    CallerRequest began = withoutPrompt("id-1", null, null);
+    assertEquals(withoutPrompt("id-2", "1", "id-1").splitKey(), began.splitKey());
+  }
+
+  @Test
+  public void unnamedStreamWithoutAPromptIsNotResumedAtAnyTargetOfASplitRoute() {
+    list(engine("e1", "v1"));
+    configureChat(2, new Route.Target("engines", 1), new Route.Target("plain", 1));
+    fixture.loop.advance(2 * ServiceVersions.RETENTION_MS);
+    for (int i = 0; i < 20; i++) {
+      RecordingSink sink = new RecordingSink();
+      fixture.serving.serve(withoutPrompt("id-" + i, "1", null), sink);
+      assertEquals(sink.log.toString(), "refused STREAM_NOT_RESUMABLE");
+    }
+    assertEquals(fixture.transport.sends.size(), 0);
+  }
+
   /** Replaces the services of the chat route. */
   private void configureChat(long version, Route.Target... targets) {
     ServingConfig before = ServingFixture.config(version, "plain");
