Streams: bridge interrupted reads, and bound what a confirmation concludes

A feed of servers or configuration now reads the changes since its last read before it lists; only changes that the store no longer keeps, or an older copy of the store, are a gap (ObjectFeed.Sink: interrupted, changesMissed). - The removal of an entry that was never readable restarted the history of all VMs.

ObjectFeedTest has two cases more.

--- a/landingtrack/src/main/java/org/landingtrack/internal/platform/FeedCache.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/platform/FeedCache.java
@@ -70,6 +70,21 @@
         sink.rolledBack();
       }
 
+      @Override
+      public boolean needsAllChanges() {
+        return sink.needsAllChanges();
+      }
+
+      @Override
+      public void interrupted(Listing changes) {
+        sink.interrupted(changes);
+      }
+
+      @Override
+      public void changesMissed() {
+        sink.changesMissed();
+      }
+
       @Override
       public void changed(Listing changes) {
         storeChanges(prefix, changes);
@@ -98,6 +113,7 @@
       List<StoredObject> changes = difference(known.objects, all.objects());
       if (changes.isEmpty()) {
         known.revision = all.revision();
+        known.changedRevision = all.revision();
       } else {
         storeChanges(prefix, new Listing(all.revision(), changes));
       }
--- a/landingtrack/src/main/java/org/landingtrack/internal/platform/ObjectFeed.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/platform/ObjectFeed.java
@@ -40,6 +40,9 @@
   private static final long MAX_BACKOFF_MS = 400;
   private static final int NO_LIMIT = Integer.MAX_VALUE;
 
+  /** Shortest wait of a watch, in milliseconds: it reports the changes that exist. */
+  private static final long NO_WAIT_MS = 1;
+
   /**
    * Consecutive failures that count as a store outage. A single failure may also come from a
    * connection that was cut or silent while the store was available. When a single failure was
@@ -56,6 +59,10 @@
   private final Backoff backoff;
   private final Thread thread;
   private long revision = -1;
+
+  /** Revision up to which all changes were read; -1 before the first list. */
+  private long continuousRevision = -1;
+
   private long generation = -1;
   private int failures;
   private boolean outage;
@@ -76,6 +83,23 @@
     /** Receives the objects that changed since the last call; removed ones have no value. */
     void changed(Listing changes);
 
+    /** Returns true if {@link #interrupted} or {@link #changesMissed} has to be called. */
+    default boolean needsAllChanges() {
+      return false;
+    }
+
+    /**
+     * Called before {@link #replaced} after a failed read, with the changes since the last
+     * successful one. The list has their result, but not the objects that came and went.
+     */
+    default void interrupted(Listing changes) {}
+
+    /**
+     * Called before {@link #replaced} instead of {@link #interrupted} if the store no longer keeps
+     * the changes: objects may have come and gone unnoticed.
+     */
+    default void changesMissed() {}
+
     /** Called when a store outage begins: what was received becomes stale. */
     void outageStarted();
 
@@ -145,10 +169,17 @@
     long from = revision;
     revision = -1;
     if (from < 0) {
+      boolean hasGap = continuousRevision >= 0 && sink.needsAllChanges();
+      boolean isContinuous = !hasGap || readMissedChanges();
       Listing all = api.list(CallClass.CONFIGURATION, prefix, "", NO_LIMIT);
-      revision = all.revision();
-      updateGeneration(Revision.generation(revision));
+      isContinuous &= !hasGap || Revision.generation(all.revision()) == generation;
+      updateGeneration(Revision.generation(all.revision()));
+      if (!isContinuous) {
+        sink.changesMissed();
+      }
       sink.replaced(all);
+      revision = all.revision();
+      continuousRevision = revision;
       return;
     }
     Listing changes = api.watch(CallClass.CONFIGURATION, prefix, from, waitMs);
@@ -161,6 +192,24 @@
     if (changesReceived) {
       sink.changed(changes);
     }
+    continuousRevision = revision;
+  }
+
+  /**
+   * Reads the changes since the last successful read, which the list that follows does not contain
+   * if they were undone; returns false if the store no longer keeps them.
+   */
+  private boolean readMissedChanges() {
+    try {
+      Listing missed = api.watch(CallClass.CONFIGURATION, prefix, continuousRevision, NO_WAIT_MS);
+      sink.interrupted(missed);
+      return true;
+    } catch (PlatformException e) {
+      if (e.reason() == PlatformException.Reason.TOO_OLD) {
+        return false;
+      }
+      throw e;
+    }
   }
 
   /**
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerRegistry.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/ServerRegistry.java
@@ -243,9 +243,6 @@
     long listedAtMs = loop.millis();
     outages.listed();
     recordAppliedRevision(revision);
-    if (!isInitial) {
-      versions.restartHistory();
-    }
     Set<String> listed = new HashSet<>();
     for (ServerEntry entry : entries) {
       listed.add(entry.id());
@@ -437,12 +434,7 @@
   /** Applies the removal of an entry; {@code sinceMs} is the earliest time of the removal. */
   public void remove(String id, long revision, long sinceMs) {
     Backend backend = backends.get(id);
-    if (backend == null) {
-      // It came and left between two reads.
-      versions.restartHistory();
-      return;
-    }
-    if (backend.isRemoved()) {
+    if (backend == null || backend.isRemoved()) {
       return;
     }
     backend.markRemoved(sinceMs, loop.millis());
--- a/landingtrack/src/main/java/org/landingtrack/internal/streams/ServiceVersions.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/streams/ServiceVersions.java
@@ -51,7 +51,7 @@
   private final Ticker ticker;
   private final Map<String, Service> services = new HashMap<>();
   private Consumer<String> mixedListener = service -> {};
-  private Runnable historyStartListener = () -> {};
+  private HistoryStartListener historyStartListener = isFirstList -> {};
   private long historySinceMs;
   private boolean hasListed;
   private boolean isFirstStart;
@@ -75,8 +75,19 @@
     mixedListener = listener;
   }
 
+  /** Receives starts of the history. */
+  @FunctionalInterface
+  interface HistoryStartListener {
+    /**
+     * Called when the history starts.
+     *
+     * @param isFirstList true at the first list, false after a gap
+     */
+    void onHistoryStart(boolean isFirstList);
+  }
+
   /** Sets the listener that is called when the history starts: at the first list and after gaps. */
-  void onHistoryStart(Runnable listener) {
+  void onHistoryStart(HistoryStartListener listener) {
     historyStartListener = listener;
   }
 
@@ -101,7 +112,7 @@
     if (!isFirstStart) {
       historySinceMs = now;
     }
-    historyStartListener.run();
+    historyStartListener.onHistoryStart(true);
   }
 
   /**
@@ -116,7 +127,7 @@
         .addKeyValue("historyMs", historyMs())
         .log("history of software versions restarted");
     historySinceMs = ticker.millis();
-    historyStartListener.run();
+    historyStartListener.onHistoryStart(false);
   }
 
   private void record(String serviceName, String version, boolean isInitial, long seenAtMs) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/streams/StreamMessage.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/streams/StreamMessage.java
@@ -35,7 +35,7 @@
    * Asks for the origin of a stream.
    *
    * @param sender address to which the reply is sent
-   * @param service the service at which the stream would have begun if there is only one
+   * @param service not used; VMs of the release before reply with the only version of it
    * @param queryId identifies the query to its sender
    */
   record OriginQuery(String sender, StreamKey key, String service, long queryId)
--- a/landingtrack/src/main/java/org/landingtrack/internal/streams/StreamOrigins.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/streams/StreamOrigins.java
@@ -86,6 +86,9 @@
   /** Time after the start of its history for which a VM asks for the history of others. */
   static final long HISTORY_QUERY_WINDOW_MS = 10_000;
 
+  /** Service in a query, so that VMs of the release before reply only with streams they know. */
+  private static final String NO_SERVICE = "";
+
   private static final Logger log = LoggerFactory.getLogger("streams");
 
   private final EventLoop loop;
@@ -100,6 +103,7 @@
   private boolean isQueryingHistory;
   private boolean isAnnouncementPending;
   private long historyQueriesEndMs;
+  private long startEndsMs;
 
   /** Starts at the clock, so that a restarted process does not use the ids of the earlier one. */
   private long lastQueryId;
@@ -117,12 +121,14 @@
   /** A search for the origin of a stream, for all requests that resume it. */
   private static final class Search {
     private final OriginQuery query;
+    private final String service;
     private final Set<String> unanswered;
     private final List<Consumer<OriginSearchResult>> listeners = new ArrayList<>();
     private final long startedAtMs;
 
-    Search(OriginQuery query, List<String> vms, long startedAtMs) {
+    Search(OriginQuery query, String service, List<String> vms, long startedAtMs) {
       this.query = query;
+      this.service = service;
       this.unanswered = new HashSet<>(vms);
       this.startedAtMs = startedAtMs;
     }
@@ -197,17 +203,20 @@
     confirmation = listConfirmation;
     isStarted = true;
     historyQueriesEndMs = loop.millis() + HISTORY_QUERY_WINDOW_MS;
+    startEndsMs = historyQueriesEndMs;
     if (versions.hasListed()) {
       startHistoryQueries();
     }
   }
 
-  private void onHistoryStart() {
+  private void onHistoryStart(boolean isFirstList) {
     firstHistoryQueryId = lastQueryId + 1;
-    if (isStarted) {
-      historyQueriesEndMs = loop.millis() + HISTORY_QUERY_WINDOW_MS;
-      startHistoryQueries();
+    if (!isStarted) {
+      return;
     }
+    historyQueriesEndMs = loop.millis() + HISTORY_QUERY_WINDOW_MS;
+    startEndsMs = isFirstList ? historyQueriesEndMs : startEndsMs;
+    startHistoryQueries();
   }
 
   private void startHistoryQueries() {
@@ -250,7 +259,7 @@
 
   /** Announces the streams of this VM later, if it has just started and knows no other VM yet. */
   private void announceOnceVmsAreKnown() {
-    if (isAnnouncementPending || loop.millis() >= historyQueriesEndMs) {
+    if (isAnnouncementPending || loop.millis() >= startEndsMs) {
       return;
     }
     isAnnouncementPending = true;
@@ -347,7 +356,7 @@
     }
     List<String> vms = peers.responsibleVms(key.hash(), MAX_ASKED_VMS);
     long waitUntilMs = startedAtMs + START_TIMEOUT_MS;
-    boolean isStarting = loop.millis() < Math.min(waitUntilMs, historyQueriesEndMs);
+    boolean isStarting = loop.millis() < Math.min(waitUntilMs, startEndsMs);
     if (vms.isEmpty() && isStarting && versions.onlyVersion(service) == null) {
       loop.schedule(RETRY_MS, () -> search(key, service, listener, startedAtMs));
       return;
@@ -356,8 +365,8 @@
       new Derivation(service, startedAtMs, listener).start();
       return;
     }
-    OriginQuery query = new OriginQuery(peers.address(), key, service, ++lastQueryId);
-    Search search = new Search(query, vms, startedAtMs);
+    OriginQuery query = new OriginQuery(peers.address(), key, NO_SERVICE, ++lastQueryId);
+    Search search = new Search(query, service, vms, startedAtMs);
     search.listeners.add(listener);
     searches.put(key, search);
     send(search.query, vms);
@@ -383,7 +392,7 @@
       } else if (announced != null) {
         report(announced, Source.KNOWN, "", search.startedAtMs, listener);
       } else {
-        new Derivation(search.query.service(), search.startedAtMs, listener).start();
+        new Derivation(search.service, search.startedAtMs, listener).start();
       }
     }
   }
--- a/landingtrack/src/test/java/org/landingtrack/internal/platform/FakeObjectApi.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/platform/FakeObjectApi.java
@@ -45,6 +45,7 @@
   private final AtomicInteger writes = new AtomicInteger();
   private long revision;
   private volatile boolean outage;
+  private long keptSince;
 
   /** Makes the next writes fail, in order. */
   public synchronized FakeObjectApi failWrites(Fault... faults) {
@@ -52,6 +53,11 @@
     return this;
   }
 
+  /** Drops the history of changes so far. */
+  public synchronized void forgetChanges() {
+    keptSince = revision;
+  }
+
   /** Starts or ends an outage, in which every call fails. */
   public void outage(boolean isOut) {
     outage = isOut;
@@ -109,6 +115,9 @@
   @Override
   public Listing watch(CallClass callClass, String prefix, long afterRevision, long waitMs) {
     Listing all = list(callClass, prefix, "", Integer.MAX_VALUE);
+    if (afterRevision < keptSince) {
+      throw new PlatformException(Reason.TOO_OLD, "the history was dropped");
+    }
     List<StoredObject> changed = new ArrayList<>();
     for (StoredObject object : all.objects()) {
       if (object.revision() > afterRevision) {
--- a/landingtrack/src/test/java/org/landingtrack/internal/platform/ObjectFeedTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/platform/ObjectFeedTest.java
@@ -30,12 +30,17 @@
 public final class ObjectFeedTest {
   private FakeObjectApi api = new FakeObjectApi();
   private List<String> events = new ArrayList<>();
+
+  /** Numbers of changes reported after failures; -1 where the store no longer kept them. */
+  private List<Integer> missed = new ArrayList<>();
+
   private ObjectFeed feed = newFeed();
 
   @BeforeMethod
   public void setUp() {
     api = new FakeObjectApi();
     events = new ArrayList<>();
+    missed = new ArrayList<>();
     feed = newFeed();
   }
 
@@ -57,6 +62,21 @@
             events.add("changed " + changes.objects().size() + " at " + changes.revision());
           }
 
+          @Override
+          public boolean needsAllChanges() {
+            return true;
+          }
+
+          @Override
+          public void interrupted(Listing changes) {
+            missed.add(changes.objects().size());
+          }
+
+          @Override
+          public void changesMissed() {
+            missed.add(-1);
+          }
+
           @Override
           public void outageStarted() {
             events.add("lost");
@@ -128,4 +148,29 @@
   private void put(String key, String value, long version) {
     var unused = api.write(CallClass.CONFIGURATION, key, value, version);
   }
+
+  @Test
+  public void changesSinceTheLastReadAreReportedAfterAFailure() {
+    put("config/main", "1", ObjectApi.ABSENT);
+    feed.readOnce();
+    feed.readOnce();
+    api.outage(true);
+    assertThrows(PlatformException.class, feed::readOnce);
+    assertThrows(PlatformException.class, feed::readOnce);
+    api.outage(false);
+    put("config/main", "2", 1);
+    feed.readOnce();
+    assertEquals(missed, List.of(1));
+  }
+
+  @Test
+  public void changesThatTheStoreNoLongerKeepsAreReportedAsMissed() {
+    put("config/main", "1", ObjectApi.ABSENT);
+    feed.readOnce();
+    put("config/main", "2", 1);
+    api.forgetChanges();
+    assertThrows(PlatformException.class, feed::readOnce);
+    feed.readOnce();
+    assertEquals(missed, List.of(-1));
+  }
 }
