Streams: simulate take-ups at VMs that don't know the current servers

Adds a seeded simulation on RestartingFleet: VMs that are cut off alone, in pairs or as a data centre, or from the store only; VMs that stand still (PausableEventLoop: timers, datagrams, answers and callers' requests wait); the store away for all VMs; a VM whose watch of the store breaks. Meanwhile a software version joins, replaces another or is rolled back. Streams begin and are taken up all the time, a third of the take-ups at the VMs in trouble. No stream may have events of two versions.

RestartingFleet: a read on demand takes the time of two links, or times out while the store is away. An unbroken watch reports removals also of servers that came and left between two answers, and a broken watch is followed by a list, as in ObjectFeed; before, such a version was never seen. Streams have different bodies: with equal ones all requests were quarantined after three servers ended. Lists are sorted: the order of Map.copyOf differs between JVMs, so that seeds were not reproducible.

--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/RestartingFleet.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/RestartingFleet.java
@@ -18,6 +18,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -25,11 +26,13 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.landingtrack.internal.loads.GossipMessage;
 import org.landingtrack.internal.loads.GossipMessage.Kind;
 import org.landingtrack.internal.loads.PeerLoads;
+import org.landingtrack.internal.streams.MixedServiceReport;
 
 /**
  * VMs that lose power and start again, servers of several software versions, and the store that
@@ -42,6 +45,7 @@
   private static final long LINK_MS = 2;
   private static final long GOSSIP_ROUND_MS = 100;
   private static final long STORE_POLL_MS = 50;
+  private static final long STORE_TIMEOUT_MS = 1_000;
   private static final long REFRESH_MS = 1_000;
   private static final long REMOVED_SERVER_RETENTION_MS = 30_000;
   private static final double LOST_SHARE = 0.02;
@@ -65,7 +69,8 @@
   /** The process of a VM, from its start to its end. */
   final class Vm implements BackendTransport {
     final String address;
-    final ServerRegistry registry = new ServerRegistry(loop, new NoOpDecisionLog(), 1_400, 2_500);
+    final PausableEventLoop vmLoop = new PausableEventLoop(loop, random);
+    final ServerRegistry registry = new ServerRegistry(vmLoop, new NoOpDecisionLog(), 1_400, 2_500);
     final PeerLoads peers;
     final ServingState state;
     private final Serving serving;
@@ -76,18 +81,24 @@
     /** Before this time the store answers nothing. */
     long storeAwayUntilMs;
 
-    /** True while the VM exchanges no messages with others. */
-    boolean isCut;
+    /** The VM exchanges messages only with VMs of the same number. */
+    int partition;
 
-    private @Nullable StoreList applied;
+    private long storeAnsweredAtMs = loop.millis();
+    private long pausedUntilMs = Long.MIN_VALUE / 2;
+
+    /** The index of the last list that was applied; -1 before the first one. */
+    private int applied = -1;
+
+    private boolean isWatchBroken;
 
     Vm(String address, boolean isFirstStart) {
       this.address = address;
-      peers = new PeerLoads(loop, new GossipMessage.Vm(address, "dc-1", 0));
-      state = new ServingState(loop, registry, peers, new NoOpDecisionLog(), 3);
+      peers = new PeerLoads(vmLoop, new GossipMessage.Vm(address, "dc-1", 0));
+      state = new ServingState(vmLoop, registry, peers, new NoOpDecisionLog(), 3);
       serving =
           new Serving(
-              loop,
+              vmLoop,
               state,
               this,
               new NoOpDecisionLog(),
@@ -108,13 +119,30 @@
       return state.ready();
     }
 
-    /** Reads the store's list as it is now; fails while the store does not answer. */
+    /** Reads the store's list on demand, and records its versions. */
     private void confirm(Consumer<Boolean> listener) {
-      boolean isAnswered = loop.millis() >= storeAwayUntilMs && !lists.isEmpty();
-      if (isAnswered) {
-        registry.recordVersions(lists.get(lists.size() - 1).entries.values());
+      if (loop.millis() < storeAwayUntilMs || applied < 0) {
+        loop.schedule(STORE_TIMEOUT_MS, () -> vmLoop.deliver(() -> listener.accept(false)));
+        return;
       }
-      listener.accept(isAnswered);
+      int position = applied;
+      loop.schedule(
+          LINK_MS,
+          () -> {
+            int index = lists.size() - 1;
+            loop.schedule(
+                LINK_MS, () -> vmLoop.deliver(() -> onConfirmed(position, index, listener)));
+          });
+    }
+
+    private void onConfirmed(int position, int index, Consumer<Boolean> listener) {
+      for (String id : removedSince(position, index)) {
+        if (!registry.knows(id)) {
+          registry.versions().restartHistory();
+        }
+      }
+      registry.recordVersions(lists.get(index).entries.values());
+      listener.accept(true);
     }
 
     private void start() {
@@ -132,20 +160,20 @@
     private void repeat(long intervalMs, Runnable task) {
       if (isRunning()) {
         task.run();
-        loop.schedule(intervalMs, () -> repeat(intervalMs, task));
+        vmLoop.schedule(intervalMs, () -> repeat(intervalMs, task));
       }
     }
 
     private void sendDatagram(String receiver, byte[] bytes) {
-      if (!isRunning() || isCut || random.nextDouble() < LOST_SHARE) {
+      if (!isRunning() || random.nextDouble() < LOST_SHARE) {
         return;
       }
       loop.schedule(
           LINK_MS,
           () -> {
             Vm vm = vms.get(receiver);
-            if (vm != null && !vm.isCut) {
-              vm.receive(bytes);
+            if (vm != null && vm.partition == partition) {
+              vm.vmLoop.deliverDatagram(() -> vm.receive(bytes));
             }
           });
     }
@@ -167,68 +195,118 @@
               List.of(),
               List.of(),
               List.of());
+      List<MixedServiceReport> reports = registry.versions().reportsToSend();
       for (Vm vm : running()) {
-        if (vm != this && !isCut && !vm.isCut && random.nextDouble() >= LOST_SHARE) {
-          vm.peers.receive(message);
-          vm.registry.versions().receiveReports(registry.versions().reportsToSend());
+        if (vm != this && vm.partition == partition && random.nextDouble() >= LOST_SHARE) {
+          vm.vmLoop.deliverDatagram(() -> vm.receive(message, reports));
         }
       }
       peers.nextRound();
     }
 
+    private void receive(GossipMessage message, List<MixedServiceReport> reports) {
+      peers.receive(message);
+      registry.versions().receiveReports(reports);
+    }
+
     private void readStore() {
+      int index = newestList();
+      if (index >= 0) {
+        apply(index);
+      }
+    }
+
+    /** Returns the index of the list that the store answers with, or -1 if it does not answer. */
+    private int newestList() {
       if (loop.millis() < storeAwayUntilMs) {
-        return;
+        isWatchBroken = true;
+        return -1;
       }
-      StoreList current = null;
-      for (StoreList list : lists) {
-        current = list.atMs <= loop.millis() - storeDelayMs ? list : current;
+      int index = lists.size() - 1;
+      while (index >= 0 && lists.get(index).atMs > loop.millis() - storeDelayMs) {
+        index--;
       }
-      if (current == null) {
-        return;
+      return index;
+    }
+
+    /** Applies an answer of the store: the changes, or after a broken watch the whole list. */
+    private void apply(int index) {
+      storeAnsweredAtMs = loop.millis();
+      if (applied < 0 || isWatchBroken) {
+        StoreList list = lists.get(Math.max(applied, index));
+        registry.replaceAll(list.entries.values(), list.atMs);
+        if (isWatchBroken) {
+          registry.onStoreRecovered();
+        }
+        isWatchBroken = false;
+        applied = Math.max(applied, index);
       }
-      StoreList before = applied;
-      if (before == null) {
-        registry.replaceAll(current.entries.values(), current.atMs);
-      } else if (before.atMs < current.atMs) {
-        applyChanges(before.entries, current);
+      if (applied < index) {
+        applyChanges(applied, index);
+        applied = index;
       }
-      applied = before == null || before.atMs < current.atMs ? current : before;
     }
 
-    private void applyChanges(Map<String, ServerEntry> before, StoreList current) {
+    /** Lets the VM stand still; an answer to its watch of the store arrives meanwhile. */
+    void pause(long ms) {
+      vmLoop.pause();
+      pausedUntilMs = loop.millis() + ms;
+      loop.schedule(
+          (long) (random.nextDouble() * ms),
+          () -> {
+            int index = newestList();
+            if (index >= 0) {
+              vmLoop.deliver(() -> apply(index));
+            }
+          });
+      loop.schedule(ms, vmLoop::resume);
+    }
+
+    /** Returns true if the VM has been running for some time. */
+    boolean hasRunFor(long ms) {
+      return loop.millis() - pausedUntilMs >= ms;
+    }
+
+    /** Returns true if the store answered within some time. */
+    boolean hasReadStoreWithin(long ms) {
+      return loop.millis() - storeAnsweredAtMs <= ms;
+    }
+
+    /** Applies the last change of each entry, as a watch reports them. */
+    private void applyChanges(int position, int index) {
+      StoreList current = lists.get(index);
       current.entries.forEach(
           (id, entry) -> {
-            if (!entry.equals(before.get(id))) {
+            if (!entry.equals(lists.get(position).entries.get(id))) {
               registry.put(entry, current.atMs);
             }
           });
-      for (String id : before.keySet()) {
-        if (!current.entries.containsKey(id)) {
-          registry.remove(id, current.atMs);
-        }
-      }
+      removedSince(position, index).forEach(id -> registry.remove(id, current.atMs));
     }
 
     /** Sends a request that begins a stream, or takes it up again after its last event. */
     void serve(String requestId, ReceivedStream stream, @Nullable String resumes) {
-      String last = stream.lastEvent == 0 ? null : Integer.toString(stream.lastEvent);
       stream.log.append(" | ").append(loop.millis()).append(" at ").append(address).append(':');
-      serving.serve(
-          new CallerRequest(
-              requestId,
-              "POST",
-              "host",
-              "/stream/",
-              List.of(),
-              new byte[0],
-              5_000,
-              null,
-              null,
-              last,
-              resumes,
-              loop.millis()),
-          stream);
+      vmLoop.deliver(() -> serving.serve(request(requestId, stream, resumes), stream));
+    }
+
+    /** Returns a request whose body differs from those of other streams. */
+    private CallerRequest request(
+        String requestId, ReceivedStream stream, @Nullable String resumes) {
+      String last = stream.lastEvent == 0 ? null : Integer.toString(stream.lastEvent);
+      return new CallerRequest(
+          requestId,
+          "POST",
+          "host",
+          "/stream/",
+          List.of(),
+          stream.firstRequestId.getBytes(StandardCharsets.US_ASCII),
+          5_000,
+          null,
+          null,
+          last,
+          resumes,
+          loop.millis());
     }
 
     @Override
@@ -242,10 +320,18 @@
     }
 
     private void run(BackendCall call, Listener listener, boolean[] isCancelled) {
-      String version = running.get(call.serverId());
       if (isCancelled[0] || !isRunning()) {
         return;
       }
+      String version = running.get(call.serverId());
+      vmLoop.deliver(() -> answer(version, call, listener, isCancelled));
+    }
+
+    private void answer(
+        @Nullable String version, BackendCall call, Listener listener, boolean[] isCancelled) {
+      if (isCancelled[0]) {
+        return;
+      }
       if (version == null) {
         listener.notRun(NotRunReason.NO_CONNECTION, "connection refused");
         return;
@@ -363,7 +449,17 @@
   /** Removes a server's entry, while it serves on. */
   void unlist(String id) {
     listed.remove(id);
-    lists.add(new StoreList(loop.millis(), Map.copyOf(listed)));
+    lists.add(new StoreList(loop.millis(), Collections.unmodifiableMap(new TreeMap<>(listed))));
+  }
+
+  /** Returns true if a server of a version runs and is listed. */
+  boolean serves(String version) {
+    return listed.values().stream()
+        .anyMatch(
+            each ->
+                version.equals(each.softwareVersion())
+                    && !each.leaving()
+                    && running.containsKey(each.id()));
   }
 
   /** Ends a server; its entry stays. */
@@ -371,8 +467,18 @@
     running.remove(id);
   }
 
+  /** Returns the entries that were listed since a list and are no longer. */
+  private Set<String> removedSince(int position, int index) {
+    Set<String> removed = new TreeSet<>();
+    for (int i = position; i < index; i++) {
+      removed.addAll(lists.get(i).entries.keySet());
+    }
+    removed.removeAll(lists.get(index).entries.keySet());
+    return removed;
+  }
+
   private void list(ServerEntry entry) {
     listed.put(entry.id(), entry);
-    lists.add(new StoreList(loop.millis(), Map.copyOf(listed)));
+    lists.add(new StoreList(loop.millis(), Collections.unmodifiableMap(new TreeMap<>(listed))));
   }
 }
