--- a/landingtrack/src/main/java/org/landingtrack/internal/base/JsonSlice.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/base/JsonSlice.java
@@ -109,6 +109,9 @@
    * @throws IOException if this object is malformed
    */
   public JsonSlice field(String name) throws IOException {
+    if (!isObject()) {
+      return MISSING;
+    }
     JsonSlice found = MISSING;
     JsonCursor fields = fields();
     while (fields.next()) {
