Gossip: VMs whose address is none are left out where a message is decoded

An address that is no IP address with a port was parsed again wherever a VM is used, with an exception on the event loop (RelayClient), and a host name was looked up there. Settings allow only IP addresses, so no VM sends another one.

--- a/landingtrack/src/main/java/org/landingtrack/internal/base/Addresses.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/base/Addresses.java
@@ -16,11 +16,33 @@
 package org.landingtrack.internal.base;
 
 import java.net.InetSocketAddress;
+import java.util.regex.Pattern;
 
 /** Parses network addresses of the form {@code host:port}, as in settings and messages. */
 public final class Addresses {
+  private static final int MAX_PORT = 65_535;
+
+  private static final String OCTET = "(25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])";
+
+  /** An IPv4 address, or an IPv6 address, which has a colon, and a port. */
+  private static final Pattern NUMERIC =
+      Pattern.compile(
+          "((" + OCTET + "\\.){3}" + OCTET + "|\\[?[0-9a-fA-F.]*:[0-9a-fA-F:.]*]?):[0-9]{1,5}");
+
   private Addresses() {}
 
+  /**
+   * Returns true if {@link #parse} accepts an address without a look-up of its host: an IP address
+   * and a port.
+   */
+  public static boolean isNumeric(String address) {
+    if (!NUMERIC.matcher(address).matches()) {
+      return false;
+    }
+    int port = Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
+    return port <= MAX_PORT;
+  }
+
   /**
    * Returns the socket address of {@code host:port}.
    *
--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/GossipCodec.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/GossipCodec.java
@@ -18,6 +18,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import org.landingtrack.internal.base.Addresses;
 import org.landingtrack.internal.loads.GossipMessage.Kind;
 import org.landingtrack.internal.loads.GossipMessage.Load;
 import org.landingtrack.internal.loads.GossipMessage.Sighting;
@@ -195,6 +196,9 @@
         throw new IOException("invalid gossip message: " + fields + " fields, expected at least 8");
       }
       Vm sender = vm(unpacker);
+      if (!Addresses.isNumeric(sender.address())) {
+        throw new IOException("invalid gossip message: the sender's address is none");
+      }
       long sequence = unpacker.unpackLong();
       Kind kind = Kind.valueOf(unpacker.unpackString());
       return new GossipMessage(
@@ -257,7 +261,10 @@
     List<Sighting> list = new ArrayList<>();
     for (int remaining = size(unpacker); remaining > 0; remaining--) {
       checkFieldCount(unpacker, 2);
-      list.add(new Sighting(vm(unpacker), nonNegative(unpacker)));
+      Sighting sighting = new Sighting(vm(unpacker), nonNegative(unpacker));
+      if (Addresses.isNumeric(sighting.vm().address())) {
+        list.add(sighting);
+      }
     }
     return list;
   }
--- a/landingtrack/src/test/java/org/landingtrack/internal/loads/GossipCodecTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/loads/GossipCodecTest.java
@@ -18,6 +18,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNotNull;
 import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
 
 import java.io.IOException;
 import java.util.ArrayList;
@@ -169,6 +170,34 @@
     assertEquals(read.backoffs(), List.of(new BackoffReport(42, 0, 0)));
   }
 
+  /** Guards against exceptions, and look-ups of host names, wherever a VM's address is used. */
+  @Test
+  public void vmsWithoutAnAddressAreLeftOut() throws IOException {
+    List<?> fields = MessagePack.MAPPER.readValue(GossipCodec.encode(MESSAGE), List.class);
+    List<Object> odd = new ArrayList<>(fields);
+    List<Object> sightings = new ArrayList<>();
+    for (String address :
+        List.of(
+            "",
+            "a",
+            "host.example:80",
+            "10.0.0.1:65536",
+            "10.0.0.256:80",
+            "10.0.0.1:-1",
+            "cafe:80",
+            ":80")) {
+      sightings.add(List.of(List.of(address, "hall-b", 36), 300));
+      odd.set(0, List.of(address, "hall-a", 150));
+      byte[] bytes = MessagePack.MAPPER.writeValueAsBytes(odd);
+      expectThrows(IOException.class, () -> decode(bytes));
+    }
+    sightings.add(List.of(List.of("10.1.0.2:7580", "hall-b", 36), 300));
+    odd.set(0, List.of("10.1.0.1:7580", "hall-a", 150));
+    odd.set(3, sightings);
+    assertEquals(
+        decode(MessagePack.MAPPER.writeValueAsBytes(odd)).sightings(), MESSAGE.sightings());
+  }
+
   private static Object randomValue(Random random, int depth) {
     return switch (random.nextInt(depth == 0 ? 7 : 9)) {
       case 0 -> random.nextLong();
