--- a/landingtrack/src/test/java/org/landingtrack/internal/serving/RestartingFleet.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/serving/RestartingFleet.java
@@ -136,13 +136,17 @@
     }
 
     private void onConfirmed(int position, int index, Consumer<Boolean> listener) {
+      noteUnknownRemovals(position, index);
+      registry.recordVersions(lists.get(index).entries.values());
+      listener.accept(true);
+    }
+
+    private void noteUnknownRemovals(int position, int index) {
       for (String id : removedSince(position, index)) {
         if (!registry.knows(id)) {
           registry.versions().restartHistory();
         }
       }
-      registry.recordVersions(lists.get(index).entries.values());
-      listener.accept(true);
     }
 
     private void start() {
@@ -234,6 +238,9 @@
       storeAnsweredAtMs = loop.millis();
       if (applied < 0 || isWatchBroken) {
         StoreList list = lists.get(Math.max(applied, index));
+        if (applied >= 0) {
+          noteUnknownRemovals(applied, Math.max(applied, index));
+        }
         registry.replaceAll(list.entries.values(), list.atMs);
         if (isWatchBroken) {
           registry.onStoreRecovered();
@@ -281,6 +288,7 @@
               registry.put(entry, current.atMs);
             }
           });
+      noteUnknownRemovals(position, index);
       removedSince(position, index).forEach(id -> registry.remove(id, current.atMs));
     }
 
