--- a/review/standins-2/src/LateDrain.java
+++ b/review/standins-2/src/LateDrain.java
@@ -24,6 +24,7 @@
   private static final long BEFORE_MS = 5_000;
 
   private static final long MEASURED_MS = 12_000;
+  private static final long LAST_ANSWERS_MS = 1_500;
   private static final long REQUEST_INTERVAL_MS = 25;
 
   private final List<Lab.Machine> machines = new ArrayList<>();
@@ -86,6 +87,7 @@
     Lab.record("%s has ended, and its entry is gone", leaving.id);
     Thread.sleep(MEASURED_MS);
     ended = true;
+    Thread.sleep(LAST_ANSWERS_MS);
     return judge(leaving, acknowledgedMs);
   }
 
