Threads: an Error no longer ends a feed, a receiver or a periodic task unseen

Cause: loops caught RuntimeException or IOException only. An OutOfMemoryError ended the thread, and executors drop a periodic task that throws.

Change: loops and periodic tasks catch Throwable, record it (line 'thread failed', ThreadFailures) and go on: feeds, followers of part stores, news between VMs, settings, reports and orders for weights, membership, peers, configuration, tasks of the event loop. Tasks that schedule themselves do so first.

--- a/landingtrack/src/main/java/org/landingtrack/internal/base/BoundedWorker.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/base/BoundedWorker.java
@@ -22,8 +22,6 @@
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * Runs tasks one after the other on a daemon thread, from a bounded queue. A full queue rejects new
@@ -31,8 +29,6 @@
  * logged and the worker goes on. Thread-safe.
  */
 public final class BoundedWorker implements AutoCloseable {
-  private static final Logger log = LoggerFactory.getLogger("duty");
-
   private final String name;
   private final ThreadPoolExecutor executor;
   private final ScheduledExecutorService timer;
@@ -60,6 +56,8 @@
   public static ThreadFactory daemonThreadFactory(String name) {
     return task -> {
       Thread thread = new Thread(task, name);
+      thread.setUncaughtExceptionHandler(
+          (ended, failure) -> ThreadFailures.record(name, failure, "the thread ends"));
       thread.setDaemon(true);
       return thread;
     };
@@ -68,7 +66,7 @@
   /** Queues a task; returns false if the queue is full or the worker is closed. */
   public boolean offer(Runnable task) {
     try {
-      executor.execute(() -> runAndLogFailure(task));
+      executor.execute(() -> runAndRecordFailure(task));
       return true;
     } catch (RejectedExecutionException e) {
       return false;
@@ -80,16 +78,17 @@
    * full.
    */
   public BoundedWorker runPeriodically(long periodMs, Runnable task) {
-    var unused =
-        timer.scheduleWithFixedDelay(() -> offer(task), periodMs, periodMs, TimeUnit.MILLISECONDS);
+    // A task of this executor that throws is not run again.
+    Runnable offerOnce = () -> runAndRecordFailure(() -> offer(task));
+    var unused = timer.scheduleWithFixedDelay(offerOnce, periodMs, periodMs, TimeUnit.MILLISECONDS);
     return this;
   }
 
-  private void runAndLogFailure(Runnable task) {
+  private void runAndRecordFailure(Runnable task) {
     try {
       task.run();
-    } catch (RuntimeException e) {
-      log.warn("A task of worker {} failed and the worker goes on: {}.", name, e.toString());
+    } catch (Throwable e) {
+      ThreadFailures.record(name, e, "the task ends, the worker goes on");
     }
   }
 
--- a/landingtrack/src/main/java/org/landingtrack/internal/config/ConfigFeed.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/config/ConfigFeed.java
@@ -22,6 +22,7 @@
 import org.landingtrack.LandingtrackException;
 import org.landingtrack.internal.base.BoundedWorker;
 import org.landingtrack.internal.base.Json;
+import org.landingtrack.internal.base.ThreadFailures;
 import org.landingtrack.internal.catalog.StoredEntry;
 import org.landingtrack.internal.membership.Member;
 import org.landingtrack.internal.membership.MembershipService;
@@ -100,6 +101,10 @@
       } catch (PlatformException | PeerException e) {
         log.debug("Could not update the configuration, will retry: {}.", e.getMessage());
         pause();
+      } catch (Throwable e) {
+        ThreadFailures.record("config-feed", e, "lists again");
+        watchedRevision = -1;
+        pause();
       }
     }
   }
--- a/landingtrack/src/main/java/org/landingtrack/internal/directory/FeedFollower.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/directory/FeedFollower.java
@@ -25,6 +25,7 @@
 import java.util.function.Supplier;
 import org.landingtrack.internal.base.BoundedWorker;
 import org.landingtrack.internal.base.Hashes;
+import org.landingtrack.internal.base.ThreadFailures;
 import org.landingtrack.internal.catalog.Catalog;
 import org.landingtrack.internal.catalog.Catalog.NamedBackendServer;
 import org.landingtrack.internal.catalog.Kind;
@@ -170,6 +171,10 @@
           reachable = false;
           lastSequence = -1;
           sleepBeforeRetry();
+        } catch (Throwable e) {
+          ThreadFailures.record(thread.getName(), e, "reads the listing again");
+          lastSequence = -1;
+          sleepBeforeRetry();
         }
       }
     }
--- a/landingtrack/src/main/java/org/landingtrack/internal/gateway/ControllerLink.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/gateway/ControllerLink.java
@@ -22,6 +22,7 @@
 import org.jspecify.annotations.Nullable;
 import org.landingtrack.internal.base.BoundedWorker;
 import org.landingtrack.internal.base.Hashes;
+import org.landingtrack.internal.base.ThreadFailures;
 import org.landingtrack.internal.config.ConfigDelta;
 import org.landingtrack.internal.config.ConfigReplica;
 import org.landingtrack.internal.explain.ExplanationStore;
@@ -99,7 +100,7 @@
 
   private void pullUntilClosed() {
     while (!closed) {
-      if (!pullOnce()) {
+      if (!tryPullOnce()) {
         try {
           Thread.sleep(RETRY_DELAY_MS);
         } catch (InterruptedException e) {
@@ -109,6 +110,16 @@
     }
   }
 
+  /** Pulls once; returns false if that failed for any reason. */
+  private boolean tryPullOnce() {
+    try {
+      return pullOnce();
+    } catch (Throwable e) {
+      ThreadFailures.record("config-follow", e, "pulls again");
+      return false;
+    }
+  }
+
   /**
    * Pulls once, from the first controller that answers with a complete configuration; returns false
    * if there is none.
--- a/landingtrack/src/main/java/org/landingtrack/internal/loads/GossipExchange.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/loads/GossipExchange.java
@@ -29,6 +29,7 @@
 import java.util.function.Supplier;
 import org.landingtrack.internal.base.Addresses;
 import org.landingtrack.internal.base.BoundedWorker;
+import org.landingtrack.internal.base.ThreadFailures;
 import org.landingtrack.internal.loads.GossipMessage.Kind;
 import org.landingtrack.internal.loads.GossipMessage.Load;
 import org.landingtrack.internal.loads.GossipMessage.Sighting;
@@ -180,6 +181,8 @@
         if (!closed) {
           log.debug("Cannot receive or decode a gossip message: {}.", e.toString());
         }
+      } catch (Throwable e) {
+        ThreadFailures.record("loads", e, "the message is dropped");
       }
     }
   }
--- a/landingtrack/src/main/java/org/landingtrack/internal/membership/MembershipService.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/membership/MembershipService.java
@@ -27,6 +27,7 @@
 import org.landingtrack.internal.base.Addresses;
 import org.landingtrack.internal.base.BoundedWorker;
 import org.landingtrack.internal.base.MessagePack;
+import org.landingtrack.internal.base.ThreadFailures;
 import org.landingtrack.internal.base.Ticker;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -89,6 +90,8 @@
         sendAll(answers);
       } catch (IOException e) {
         log.debug("Dropped a datagram: {}.", e.toString());
+      } catch (Throwable e) {
+        ThreadFailures.record("membership-receive", e, "the datagram is dropped");
       }
     }
   }
--- a/landingtrack/src/main/java/org/landingtrack/internal/peer/PeerServer.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/peer/PeerServer.java
@@ -33,6 +33,7 @@
 import org.landingtrack.ErrorKind;
 import org.landingtrack.LandingtrackException;
 import org.landingtrack.internal.base.BoundedWorker;
+import org.landingtrack.internal.base.ThreadFailures;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -126,6 +127,8 @@
         BoundedWorker.daemonThreadFactory("peer-connection").newThread(() -> serve(socket)).start();
       } catch (IOException e) {
         log.debug("Accepting a connection failed: {}.", e.toString());
+      } catch (Throwable e) {
+        ThreadFailures.record("peer-accept", e, "accepts the next connection");
       }
     }
   }
--- a/landingtrack/src/main/java/org/landingtrack/internal/platform/ObjectFeed.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/platform/ObjectFeed.java
@@ -18,6 +18,7 @@
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.landingtrack.internal.base.BoundedWorker;
+import org.landingtrack.internal.base.ThreadFailures;
 import org.landingtrack.internal.platform.ObjectApi.CallClass;
 import org.landingtrack.internal.platform.ObjectApi.Listing;
 import org.slf4j.Logger;
@@ -141,6 +142,16 @@
     }
   }
 
+  /**
+   * Records any other failure of a read; the next one lists again.
+   *
+   * @return the delay until then, in milliseconds
+   */
+  private long recordUnexpected(Throwable failure) {
+    ThreadFailures.record(thread.getName(), failure, "lists again");
+    return MAX_BACKOFF_MS;
+  }
+
   /** Reads once and reports outages; returns the delay until the next read. Visible for tests. */
   long runOnce() {
     try {
@@ -157,9 +168,9 @@
         return 0;
       }
       recordFailure(e);
-    } catch (RuntimeException e) {
-      // An object in the store cannot be parsed; its next version may be readable.
-      log.error("The feed of {} failed and will retry: {}.", prefix, e.toString());
+    } catch (Throwable e) {
+      // An object cannot be parsed, or memory was short for a moment: the next read may succeed.
+      return recordUnexpected(e);
     }
     return backoff.nextMs();
   }
--- a/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestQueue.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/serving/RequestQueue.java
@@ -148,9 +148,12 @@
     List<Waiting> inOrder = new ArrayList<>(waiting);
     inOrder.sort(
         Comparator.comparing((Waiting each) -> each.run.isLate()).thenComparing(Waiting::turnMs));
-    for (Waiting each : inOrder) {
-      each.run.trySendQueued();
+    try {
+      for (Waiting each : inOrder) {
+        each.run.trySendQueued();
+      }
+    } finally {
+      scheduleRetry();
     }
-    scheduleRetry();
   }
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/streams/StreamOrigins.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/streams/StreamOrigins.java
@@ -231,9 +231,9 @@
       isQueryingHistory = false;
       return;
     }
+    loop.schedule(HISTORY_QUERY_INTERVAL_MS, this::queryHistory);
     HistoryQuery query = new HistoryQuery(peers.address(), ++lastQueryId);
     send(query, peers.responsibleVms(loop.millis(), REPLICAS));
-    loop.schedule(HISTORY_QUERY_INTERVAL_MS, this::queryHistory);
   }
 
   private void send(StreamMessage message, List<String> vms) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/weights/VersionRollout.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/weights/VersionRollout.java
@@ -31,6 +31,7 @@
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.landingtrack.internal.base.BoundedWorker;
+import org.landingtrack.internal.base.ThreadFailures;
 import org.landingtrack.internal.base.Ticker;
 import org.landingtrack.internal.base.WaitTicker;
 import org.landingtrack.internal.lease.Lease;
@@ -347,8 +348,8 @@
       return control.report(engine);
     } catch (EngineUnavailableException e) {
       log.atDebug().addKeyValue("server", engine.id()).log("engine silent");
-    } catch (RuntimeException e) {
-      log.warn("A call to an engine failed: {}.", e.toString());
+    } catch (Throwable e) {
+      ThreadFailures.record("weights-reports", e, "the report counts as missing");
     }
     return null;
   }
@@ -405,8 +406,8 @@
   private void runOrder(Task task, Report report, EngineView view, long epoch) {
     try {
       sendOrder(task, report, view, epoch);
-    } catch (RuntimeException e) {
-      log.warn("A call to an engine failed: {}.", e.toString());
+    } catch (Throwable e) {
+      ThreadFailures.record("weights-orders", e, "the effect of the order counts as unknown");
     } finally {
       synchronized (lock) {
         view.endOrder();
--- a/landingtrack/src/test/java/org/landingtrack/internal/platform/ObjectFeedTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/platform/ObjectFeedTest.java
@@ -17,10 +17,12 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import org.jspecify.annotations.Nullable;
 import org.landingtrack.internal.platform.ObjectApi.CallClass;
 import org.landingtrack.internal.platform.ObjectApi.Listing;
 import org.testng.annotations.BeforeMethod;
@@ -41,9 +43,13 @@
     api = new FakeObjectApi();
     events = new ArrayList<>();
     missed = new ArrayList<>();
+    error = null;
     feed = newFeed();
   }
 
+  /** Thrown once when a list is received. */
+  private @Nullable Error error;
+
   private ObjectFeed newFeed() {
     return new ObjectFeed(
         api,
@@ -54,6 +60,11 @@
         new ObjectFeed.Sink() {
           @Override
           public void replaced(Listing all) {
+            Error once = error;
+            error = null;
+            if (once != null) {
+              throw once;
+            }
             events.add("all " + all.objects().size() + " at " + all.revision());
           }
 
@@ -132,6 +143,15 @@
     assertEquals(events, List.of("all 0 at 0", "all 0 at 0"));
   }
 
+  /** Guards against a feed whose thread ends while its process goes on without new entries. */
+  @Test
+  public void feedListsAgainAfterAnError() {
+    error = new OutOfMemoryError("simulated");
+    assertTrue(feed.runOnce() > 0);
+    feed.runOnce();
+    assertEquals(events, List.of("all 0 at 0"));
+  }
+
   @Test
   public void consecutiveFailuresAreReportedAsOneOutageAndOneRecovery() {
     feed.runOnce();
