Store: what is kept of lists and watches is bounded by what is used of it

Cause: the client joined the raw contents of all pages of a kind before anything was decoded; the cache for other VMs kept the contents of up to 256 answers as well.

An entry that cannot be decoded leaves a short reason in a watch and nothing in a list.

--- a/landingtrack/src/main/java/org/landingtrack/internal/platform/FeedCache.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/platform/FeedCache.java
@@ -28,8 +28,8 @@
 
 /**
  * Caches the objects of each kind that this process follows, together with their latest changes, to
- * serve VMs that ask this process instead of the Object API. Holds each object once and a bounded
- * number of changes. Thread-safe.
+ * serve VMs that ask this process instead of the Object API. Holds each object once, and changes up
+ * to a bounded number and size. Thread-safe.
  */
 public final class FeedCache {
   /**
@@ -38,6 +38,15 @@
    */
   private static final int MAX_ANSWERS = 256;
 
+  /** Most characters of the kept answers of a kind, {@link #OBJECT_CHARS} for each object added. */
+  private static final long MAX_ANSWER_CHARS = 4L << 20;
+
+  /** Most characters of the kept objects of a kind; a kind with more is not served to other VMs. */
+  private static final long MAX_OBJECT_CHARS = 24L << 20;
+
+  /** What an object takes beside its key and content, in characters. */
+  private static final int OBJECT_CHARS = 160;
+
   private final Map<String, CachedKind> kinds = new HashMap<>();
 
   /**
@@ -51,9 +60,55 @@
   private static final class CachedKind {
     private final Map<String, StoredObject> objects = new TreeMap<>();
     private final Deque<Listing> answers = new ArrayDeque<>();
+    private long objectChars;
+    private long answerChars;
+    private boolean isTooLarge;
     private long completeSince;
     private long revision;
     private long changedRevision;
+
+    /** Fills a new kind with its first list. */
+    void fill(Listing all) {
+      all.objects().forEach(this::keep);
+      completeSince = all.revision();
+      revision = all.revision();
+      changedRevision = all.revision();
+    }
+
+    /** Keeps an object in place of the one with its key; an invalid one is not kept. */
+    void keep(StoredObject object) {
+      boolean isKept = !object.isRemoved() && !object.isRejected() && !isTooLarge;
+      StoredObject before =
+          isKept ? objects.put(object.key(), object) : objects.remove(object.key());
+      objectChars += (isKept ? chars(object) : 0) - (before == null ? 0 : chars(before));
+      if (objectChars > MAX_OBJECT_CHARS) {
+        isTooLarge = true;
+        objects.clear();
+        objectChars = 0;
+      }
+    }
+
+    void addAnswer(Listing changes) {
+      answers.addLast(changes);
+      answerChars += chars(changes);
+      while (answers.size() > MAX_ANSWERS || answerChars > MAX_ANSWER_CHARS) {
+        Listing oldest = answers.removeFirst();
+        answerChars -= chars(oldest);
+        completeSince = oldest.revision();
+      }
+    }
+
+    private static long chars(Listing listing) {
+      long sum = 0;
+      for (StoredObject object : listing.objects()) {
+        sum += chars(object);
+      }
+      return sum;
+    }
+
+    private static long chars(StoredObject object) {
+      return (long) OBJECT_CHARS + object.key().length() + object.value().length();
+    }
   }
 
   /** Returns a sink that stores the objects of a kind in this cache before passing them on. */
@@ -109,7 +164,7 @@
    */
   private synchronized void storeList(String prefix, Listing all) {
     CachedKind known = kinds.get(prefix);
-    if (known != null && all.revision() >= known.revision) {
+    if (known != null && all.revision() >= known.revision && !known.isTooLarge) {
       List<StoredObject> changes = difference(known.objects, all.objects());
       if (changes.isEmpty()) {
         known.revision = all.revision();
@@ -120,10 +175,7 @@
       return;
     }
     CachedKind kind = new CachedKind();
-    all.objects().forEach(object -> kind.objects.put(object.key(), object));
-    kind.completeSince = all.revision();
-    kind.revision = all.revision();
-    kind.changedRevision = all.revision();
+    kind.fill(all);
     kinds.put(prefix, kind);
   }
 
@@ -146,17 +198,8 @@
     if (kind == null) {
       return;
     }
-    for (StoredObject object : changes.objects()) {
-      if (object.isRemoved()) {
-        kind.objects.remove(object.key());
-      } else {
-        kind.objects.put(object.key(), object);
-      }
-    }
-    kind.answers.addLast(changes);
-    if (kind.answers.size() > MAX_ANSWERS) {
-      kind.completeSince = kind.answers.removeFirst().revision();
-    }
+    changes.objects().forEach(kind::keep);
+    kind.addAnswer(changes);
     kind.revision = changes.revision();
     kind.changedRevision = changes.revision();
   }
@@ -177,14 +220,25 @@
         : Optional.of(new Position(kind.revision, kind.changedRevision));
   }
 
-  /** Returns all objects of a kind; empty before its first list. */
+  /**
+   * Returns all objects of a kind; empty before its first list, or if they take too much memory.
+   */
   public synchronized Optional<Listing> snapshot(String prefix) {
     CachedKind kind = kinds.get(prefix);
-    return kind == null
+    return kind == null || kind.isTooLarge
         ? Optional.empty()
         : Optional.of(new Listing(kind.revision, new ArrayList<>(kind.objects.values())));
   }
 
+  /** Returns the size of all that is kept, in characters. */
+  public synchronized long keptChars() {
+    long sum = 0;
+    for (CachedKind kind : kinds.values()) {
+      sum += kind.objectChars + kind.answerChars;
+    }
+    return sum;
+  }
+
   /** Returns the changes of a kind after a revision; empty if they are no longer kept. */
   public synchronized Optional<Listing> changesSince(String prefix, long revision) {
     @Nullable CachedKind kind = kinds.get(prefix);
--- a/landingtrack/src/main/java/org/landingtrack/internal/platform/PlatformException.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/platform/PlatformException.java
@@ -28,7 +28,9 @@
     /** The object's current version is not the expected one. */
     CONFLICT,
     /** The watch starts before the oldest change that the platform keeps. */
-    TOO_OLD
+    TOO_OLD,
+    /** The answer to a list or watch is longer than this process reads. */
+    TOO_LARGE
   }
 
   private final Reason reason;
--- a/landingtrack/src/main/java/org/landingtrack/internal/platform/StoredObject.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/platform/StoredObject.java
@@ -23,6 +23,18 @@
  * @param value the content, at most 1 MB; empty in the answer of a watch if the object was removed
  */
 public record StoredObject(String key, long version, long revision, String value) {
+  /** Beginning of the value of an object whose content was rejected as it was read. */
+  private static final String REJECTION_PREFIX = "\"rejected: ";
+
+  /** Returns the value of an object whose content was rejected: a JSON text with the reason. */
+  public static String rejection(String reason) {
+    return REJECTION_PREFIX + reason.replace('\\', '/').replace('"', '\'') + '"';
+  }
+
+  /** Returns true if the content was rejected as it was read, so that it has no meaning. */
+  public boolean isRejected() {
+    return value.startsWith(REJECTION_PREFIX);
+  }
 
   /** Returns this object as a watch reports its removal: without a value. */
   public StoredObject removed() {
