Feeds: delays no longer add up over changes that the store has ready

Cause: a feed waited 250 ms after each answer with changes. The store ends an answer at about 1 MB, so 20 entries of 1 MB were 20 answers and 20 delays. With all changes in one answer of over 8 MiB, the feed requested that answer again and again and never listed.

Change: no delay after an answer that may have been ended early (Listing isFull: half of the page size that the protocol names); after two delays in a row none until the feed has caught up (BatchDelay). Changes that are too many for an answer are read as a list.

--- a/landingtrack/src/main/java/org/landingtrack/internal/platform/CircuitBreakerObjectApi.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/platform/CircuitBreakerObjectApi.java
@@ -68,7 +68,8 @@
   }
 
   private void recordException(PlatformException e) {
-    if (e.reason() == PlatformException.Reason.TOO_OLD) {
+    if (e.reason() == PlatformException.Reason.TOO_OLD
+        || e.reason() == PlatformException.Reason.TOO_LARGE) {
       breaker.recordSuccess();
     } else {
       breaker.recordFailure();
--- a/landingtrack/src/main/java/org/landingtrack/internal/platform/ObjectApi.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/platform/ObjectApi.java
@@ -88,10 +88,17 @@
    * Objects of a list or a watch.
    *
    * @param revision all changes up to this revision are included
+   * @param isFull whether the answer is so large that the platform may have ended it early, so that
+   *     further changes are waiting
    */
-  record Listing(long revision, List<StoredObject> objects) {
+  record Listing(long revision, List<StoredObject> objects, boolean isFull) {
     public Listing {
       objects = List.copyOf(objects);
     }
+
+    /** Creates objects of an answer that has all there were. */
+    public Listing(long revision, List<StoredObject> objects) {
+      this(revision, objects, false);
+    }
   }
 }
--- a/landingtrack/src/main/java/org/landingtrack/internal/platform/ObjectFeed.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/platform/ObjectFeed.java
@@ -19,6 +19,7 @@
 import java.util.random.RandomGenerator;
 import org.landingtrack.internal.base.BoundedWorker;
 import org.landingtrack.internal.base.ThreadFailures;
+import org.landingtrack.internal.base.Ticker;
 import org.landingtrack.internal.platform.ObjectApi.CallClass;
 import org.landingtrack.internal.platform.ObjectApi.Listing;
 import org.slf4j.Logger;
@@ -56,6 +57,8 @@
   private final String prefix;
   private final long waitMs;
   private final LongSupplier batchDelayMs;
+  private final Ticker ticker;
+  private final BatchDelay batchDelay = new BatchDelay();
   private final Sink sink;
   private final Backoff backoff;
   private final Thread thread;
@@ -68,6 +71,7 @@
   private int failures;
   private boolean outage;
   private boolean changesReceived;
+  private boolean isLastFull;
   private volatile boolean closed;
 
   /** Receives what the feed reads. Called on the feed's thread. */
@@ -97,7 +101,7 @@
 
     /**
      * Called before {@link #replaced} instead of {@link #interrupted} if the store no longer keeps
-     * the changes: objects may have come and gone unnoticed.
+     * the changes, or they are too many: objects may have come and gone unnoticed.
      */
     default void changesMissed() {}
 
@@ -113,7 +117,7 @@
    *
    * @param waitMs how long a watch waits; a broken path is detected after about this time
    * @param delayAfterChangesMs delay between changes and the next watch, so that one call reads a
-   *     burst of changes
+   *     burst of changes; it does not add up over answers that the store has ready
    */
   public ObjectFeed(
       ObjectApi api,
@@ -121,11 +125,13 @@
       long waitMs,
       LongSupplier delayAfterChangesMs,
       RandomGenerator random,
+      Ticker ticker,
       Sink sink) {
     this.api = api;
     this.prefix = prefix;
     this.waitMs = waitMs;
     this.batchDelayMs = delayAfterChangesMs;
+    this.ticker = ticker;
     this.sink = sink;
     this.backoff = new Backoff(random, INITIAL_BACKOFF_MS, MAX_BACKOFF_MS);
     this.thread = BoundedWorker.daemonThreadFactory("feed-" + prefix).newThread(this::run);
@@ -154,22 +160,34 @@
 
   /** Reads once and reports outages; returns the delay until the next read. Visible for tests. */
   long runOnce() {
+    long startMs = ticker.millis();
+    boolean isWatch = revision >= 0;
     try {
       changesReceived = false;
+      isLastFull = false;
       readOnce();
       backoff.reset();
       recordSuccess();
-      return changesReceived ? batchDelayMs.getAsLong() : 0;
+      return batchDelay.next(
+          changesReceived, isLastFull, ticker.millis() - startMs, batchDelayMs.getAsLong());
     } catch (PlatformException e) {
+      batchDelay.reset();
       if (e.reason() == PlatformException.Reason.TOO_OLD) {
         log.info(
             "The store no longer keeps the changes of {} since the last read; listing all objects again.",
             prefix);
         return 0;
       }
+      if (e.reason() == PlatformException.Reason.TOO_LARGE && isWatch) {
+        log.info(
+            "The changes of {} since the last read are too many; listing all objects again.",
+            prefix);
+        return 0;
+      }
       recordFailure(e);
     } catch (Throwable e) {
       // An object cannot be parsed, or memory was short for a moment: the next read may succeed.
+      batchDelay.reset();
       return recordUnexpected(e);
     }
     return backoff.nextMs();
@@ -200,6 +218,7 @@
     }
     revision = Math.max(from, changes.revision());
     changesReceived = !changes.objects().isEmpty();
+    isLastFull = changes.isFull();
     if (changesReceived) {
       sink.changed(changes);
     }
@@ -208,7 +227,7 @@
 
   /**
    * Reads the changes since the last successful read, which the list that follows does not contain
-   * if they were undone; returns false if the store no longer keeps them.
+   * if they were undone; returns false if the store no longer keeps them, or they are too many.
    */
   private boolean readMissedChanges() {
     try {
@@ -216,7 +235,8 @@
       sink.interrupted(missed);
       return true;
     } catch (PlatformException e) {
-      if (e.reason() == PlatformException.Reason.TOO_OLD) {
+      if (e.reason() == PlatformException.Reason.TOO_OLD
+          || e.reason() == PlatformException.Reason.TOO_LARGE) {
         return false;
       }
       throw e;
--- a/landingtrack/src/test/java/org/landingtrack/internal/platform/CircuitBreakerObjectApiTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/platform/CircuitBreakerObjectApiTest.java
@@ -24,6 +24,7 @@
 import java.util.Optional;
 import java.util.Random;
 import org.landingtrack.internal.base.FakeTicker;
+import org.landingtrack.internal.base.Ticker;
 import org.landingtrack.internal.platform.ObjectApi.CallClass;
 import org.landingtrack.internal.platform.ObjectApi.Listing;
 import org.landingtrack.internal.platform.PlatformException.Reason;
@@ -94,7 +95,13 @@
     for (int i = 0; i < FEEDS; i++) {
       feeds.add(
           new ObjectFeed(
-              breakerApi, "kind-" + i, 0, () -> 0, new Random(i), new CountingSink(read)));
+              breakerApi,
+              "kind-" + i,
+              0,
+              () -> 0,
+              new Random(i),
+              Ticker.SYSTEM,
+              new CountingSink(read)));
     }
     return feeds;
   }
--- a/landingtrack/src/test/java/org/landingtrack/internal/platform/FakeObjectApi.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/platform/FakeObjectApi.java
@@ -23,6 +23,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.jspecify.annotations.Nullable;
 import org.landingtrack.internal.platform.PlatformException.Reason;
 
 /**
@@ -46,6 +47,7 @@
   private long revision;
   private volatile boolean outage;
   private long keptSince;
+  private @Nullable Reason watchFailure;
 
   /** Makes the next writes fail, in order. */
   public synchronized FakeObjectApi failWrites(Fault... faults) {
@@ -58,6 +60,11 @@
     keptSince = revision;
   }
 
+  /** Makes all watches fail. */
+  public synchronized void failWatches(Reason reason) {
+    watchFailure = reason;
+  }
+
   /** Starts or ends an outage, in which every call fails. */
   public void outage(boolean isOut) {
     outage = isOut;
@@ -114,6 +121,10 @@
 
   @Override
   public Listing watch(CallClass callClass, String prefix, long afterRevision, long waitMs) {
+    Reason failure = watchFailure;
+    if (failure != null) {
+      throw new PlatformException(failure, "simulated");
+    }
     Listing all = list(callClass, prefix, "", Integer.MAX_VALUE);
     if (afterRevision < keptSince) {
       throw new PlatformException(Reason.TOO_OLD, "the history was dropped");
--- a/landingtrack/src/test/java/org/landingtrack/internal/platform/ObjectFeedTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/platform/ObjectFeedTest.java
@@ -23,6 +23,7 @@
 import java.util.List;
 import java.util.Random;
 import org.jspecify.annotations.Nullable;
+import org.landingtrack.internal.base.FakeTicker;
 import org.landingtrack.internal.platform.ObjectApi.CallClass;
 import org.landingtrack.internal.platform.ObjectApi.Listing;
 import org.testng.annotations.BeforeMethod;
@@ -57,6 +58,7 @@
         1_000,
         () -> 0,
         new Random(1),
+        new FakeTicker(),
         new ObjectFeed.Sink() {
           @Override
           public void replaced(Listing all) {
@@ -183,6 +185,19 @@
     assertEquals(missed, List.of(1));
   }
 
+  /** Guards against a feed that requests the same changes, more than it reads, for ever. */
+  @Test
+  public void tooManyChangesAreReadAsAList() {
+    put("config/main", "1", ObjectApi.ABSENT);
+    feed.runOnce();
+    put("config/main", "2", 1);
+    api.failWatches(PlatformException.Reason.TOO_LARGE);
+    assertEquals(feed.runOnce(), 0);
+    assertEquals(feed.runOnce(), 0);
+    assertEquals(events, List.of("all 1 at 1", "all 1 at 2"));
+    assertEquals(missed, List.of(-1));
+  }
+
   @Test
   public void changesThatTheStoreNoLongerKeepsAreReportedAsMissed() {
     put("config/main", "1", ObjectApi.ABSENT);
