Memory: gathered answers of unknown length are ended before requests are refused

Callers of other servers were refused ('short of memory') while servers sent answers without a length and without an end.

Cause: answers are gathered up to 16 MiB each, all within one bound, and those at a server were never ended for it: the bound stayed full. Change: from the high watermark on, the largest gathered answers that state no length are ended until the low watermark; not those below 256 KiB.

--- a/landingtrack/src/main/java/org/landingtrack/internal/protection/HeldBytes.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/protection/HeldBytes.java
@@ -54,6 +54,9 @@
   private static final long MIN_SHARE_BYTES = 4 << 10;
   private static final long MAX_SHARE_BYTES = 256 << 10;
 
+  /** Smallest size of an answer of unknown length that is ended. */
+  private static final long MIN_ENDED_UNKNOWN_LENGTH_BYTES = 256 << 10;
+
   private final long bound;
   private final Runnable onFull;
   private final Map<Kind, Long> byKind = new EnumMap<>(Kind.class);
@@ -68,7 +71,12 @@
     /** Request bodies, from the first byte that is read until the request is answered. */
     BODIES("bodies"),
     /** Answers that are forwarded only when they are complete. */
-    GATHERED("gathered");
+    GATHERED("gathered"),
+    /**
+     * Such answers that do not state their length, so that nothing tells whether they end. They are
+     * ended first, from the high watermark on.
+     */
+    UNKNOWN_LENGTH("unknown_length");
 
     private final String text;
 
@@ -86,8 +94,8 @@
    * Creates an account.
    *
    * @param bound bytes at which the largest holders are ended
-   * @param onFull called when the bound is reached; has to call {@link #shed} soon, but not from
-   *     within this call
+   * @param onFull called when the bound is reached, or the high watermark with answers of unknown
+   *     length; has to call {@link #shed} soon, but not from within this call
    */
   public HeldBytes(long bound, Runnable onFull) {
     this.bound = bound;
@@ -141,26 +149,28 @@
   }
 
   /**
-   * Ends holders if the bound is reached: unread answers, largest first, until the total is below
-   * the low watermark; if they do not suffice, request bodies that are still being read, until the
-   * total is below the bound. Holders whose requests are at a server stay.
+   * Ends holders. From the high watermark on: answers of unknown length, largest first, until the
+   * total is below the low watermark, so that no new request is refused for them. If the bound is
+   * reached: unread answers, largest first, until the total is below the low watermark; if they do
+   * not suffice, request bodies that are still being read, until the total is below the bound.
+   * Holders whose requests are at a server stay.
    *
    * @return the number of ended holders
    */
   public int shed() {
+    int ended = endAnswersOfUnknownLength();
     if (!isFull()) {
-      return 0;
+      return ended;
     }
     List<Holder> candidates = new ArrayList<>();
     for (Holder holder : holders) {
-      if (holder.shedAction != null) {
+      if (holder.shedAction != null && holder.kind != Kind.UNKNOWN_LENGTH) {
         candidates.add(holder);
       }
     }
     candidates.sort(
         Comparator.comparing((Holder holder) -> holder.kind)
             .thenComparing(Comparator.comparingLong(Holder::bytes).reversed()));
-    int ended = 0;
     for (Holder holder : candidates) {
       if (holder.kind == Kind.ANSWERS ? hasRoom() : !isFull()) {
         break;
@@ -174,6 +184,31 @@
     return ended;
   }
 
+  private int endAnswersOfUnknownLength() {
+    if (!isShort || total(Kind.UNKNOWN_LENGTH) == 0) {
+      return 0;
+    }
+    List<Holder> candidates = new ArrayList<>();
+    for (Holder holder : holders) {
+      if (holder.kind == Kind.UNKNOWN_LENGTH && holder.bytes >= MIN_ENDED_UNKNOWN_LENGTH_BYTES) {
+        candidates.add(holder);
+      }
+    }
+    candidates.sort(Comparator.comparingLong(Holder::bytes).reversed());
+    int ended = 0;
+    for (Holder holder : candidates) {
+      Runnable action = holder.shedAction;
+      if (hasRoom()) {
+        break;
+      }
+      if (action != null) {
+        action.run();
+        ended++;
+      }
+    }
+    return ended;
+  }
+
   private long lowWatermark() {
     return (long) (bound * LOW_WATERMARK);
   }
@@ -184,6 +219,7 @@
 
   private void change(Holder holder, long by) {
     boolean wasFull = isFull();
+    boolean wasShort = isShort;
     total += by;
     byKind.merge(holder.kind, by, Long::sum);
     holder.bytes += by;
@@ -193,7 +229,8 @@
       holders.add(holder);
     }
     isShort = isShort ? total >= lowWatermark() : total >= highWatermark();
-    if (isFull() && !wasFull) {
+    boolean mayEndUnknownLength = isShort && !wasShort && total(Kind.UNKNOWN_LENGTH) > 0;
+    if ((isFull() && !wasFull) || mayEndUnknownLength) {
       onFull.run();
     }
   }
--- a/landingtrack/src/test/java/org/landingtrack/internal/protection/HeldBytesTest.java
+++ b/landingtrack/src/test/java/org/landingtrack/internal/protection/HeldBytesTest.java
@@ -98,6 +98,31 @@
     assertEquals(fullCalls, 0);
   }
 
+  /** Guards against answers without end that take the memory of everybody. */
+  @Test
+  public void answersOfUnknownLengthAreEndedBeforeRequestsAreRefused() {
+    HeldBytes account = new HeldBytes(8L * BOUND, () -> fullCalls++);
+    List<String> endedNames = new ArrayList<>();
+    for (int size : new int[] {1_000, 300_000, 3_000_000, 900_000}) {
+      Holder holder = account.open(Kind.UNKNOWN_LENGTH);
+      holder.setShedAction(
+          () -> {
+            endedNames.add("" + size);
+            holder.releaseAll();
+          });
+      holder.hold(size);
+    }
+    Holder gathered = account.open(Kind.GATHERED);
+    gathered.setShedAction(() -> endedNames.add("gathered"));
+    gathered.hold(1_700_000);
+    assertEquals(account.shed(), 0);
+    gathered.hold(100_000);
+    assertEquals(fullCalls, 1);
+    assertEquals(account.shed(), 1);
+    assertEquals(endedNames, List.of("3000000"));
+    assertFalse(account.isShort());
+  }
+
   @Test
   public void largestUnreadAnswersAreEndedFirst() {
     List<String> endedNames = new ArrayList<>();
