--- a/landingtrack/src/main/java/org/landingtrack/internal/base/JsonArrayReader.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/base/JsonArrayReader.java
@@ -78,14 +78,47 @@
     byte[] chunk = new byte[CHUNK_BYTES];
     int count = in.read(chunk);
     while (count >= 0) {
-      for (int i = 0; i < count; i++) {
-        reader.accept(chunk[i]);
+      int i = 0;
+      while (i < count) {
+        int textEnd = reader.isInText ? endOfPlainText(chunk, i, count) : i;
+        if (textEnd > i) {
+          reader.acceptPlainText(chunk, i, textEnd);
+          i = textEnd;
+        } else {
+          reader.accept(chunk[i++]);
+        }
       }
       count = in.read(chunk);
     }
     return JsonSlice.of(reader.rest.isEmpty() ? "{}" : reader.rest.takeText());
   }
 
+  /** Returns the position of the next byte with a meaning in a text. */
+  private static int endOfPlainText(byte[] chunk, int from, int to) {
+    int position = from;
+    while (position < to && chunk[position] != '"' && chunk[position] != '\\') {
+      position++;
+    }
+    return position;
+  }
+
+  private void acceptPlainText(byte[] chunk, int from, int to) throws IOException {
+    isEscaped = false;
+    if (isInArray) {
+      element.add(chunk, from, to);
+      return;
+    }
+    if (rest.size() + to - from > MAX_REST_BYTES) {
+      throw tooLongOutside();
+    }
+    rest.add(chunk, from, to);
+    lastText.add(chunk, from, Math.min(to, from + MAX_NAME_BYTES - lastText.size()));
+  }
+
+  private IOException tooLongOutside() {
+    return new IOException("over " + MAX_REST_BYTES + " bytes outside of array " + arrayName);
+  }
+
   private void accept(byte next) throws IOException {
     if (isInText) {
       acceptInText(next);
@@ -173,7 +206,7 @@
       return;
     }
     if (rest.size() >= MAX_REST_BYTES) {
-      throw new IOException("over " + MAX_REST_BYTES + " bytes outside of array " + arrayName);
+      throw tooLongOutside();
     }
     rest.add(next);
   }
@@ -190,6 +223,15 @@
       bytes[size++] = next;
     }
 
+    void add(byte[] source, int from, int to) {
+      int length = to - from;
+      if (size + length > bytes.length) {
+        bytes = Arrays.copyOf(bytes, Math.max(2 * bytes.length, size + length));
+      }
+      System.arraycopy(source, from, bytes, size, length);
+      size += length;
+    }
+
     int size() {
       return size;
     }
--- a/landingtrack/src/main/java/org/landingtrack/internal/base/JsonSlice.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/base/JsonSlice.java
@@ -16,6 +16,9 @@
 package org.landingtrack.internal.base;
 
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
 
 /**
  * Value within a JSON text, located but not parsed. Splits a document that has values of several
@@ -122,6 +125,25 @@
     return found;
   }
 
+  /**
+   * Returns the last field of each name, in the order of the names and in one pass over this
+   * object; values that are not present for missing ones.
+   *
+   * @throws IOException if this object is malformed
+   */
+  public List<JsonSlice> fields(String... names) throws IOException {
+    List<JsonSlice> found = new ArrayList<>(Collections.nCopies(names.length, MISSING));
+    JsonCursor fields = fields();
+    while (fields.next()) {
+      for (int i = 0; i < names.length; i++) {
+        if (fields.isNamed(names[i])) {
+          found.set(i, fields.value());
+        }
+      }
+    }
+    return found;
+  }
+
   /** Returns the value as a whole number; {@code fallback} if it is none in the range of a long. */
   public long asLong(long fallback) {
     if (!isPresent() || end - start > MAX_LONG_CHARS) {
--- a/landingtrack/src/main/java/org/landingtrack/internal/platform/CallBudget.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/platform/CallBudget.java
@@ -43,19 +43,14 @@
 
   /** Takes a token if enough tokens are left for the class; returns false if the call must wait. */
   public synchronized boolean tryAcquire(CallClass callClass) {
-    if (!isAvailable(callClass)) {
-      return false;
-    }
-    tokens -= 1;
-    return true;
-  }
-
-  /** Returns true if enough tokens are left for a call of the class. */
-  public synchronized boolean isAvailable(CallClass callClass) {
     long nowMs = ticker.millis();
     tokens = Math.min(capacity, tokens + (nowMs - lastRefillMs) * tokensPerMs);
     lastRefillMs = nowMs;
     double reserve = capacity * callClass.reserve();
-    return tokens - 1 >= Math.min(reserve, capacity - 1);
+    if (tokens - 1 < Math.min(reserve, capacity - 1)) {
+      return false;
+    }
+    tokens -= 1;
+    return true;
   }
 }
