--- a/landingtrack/src/main/java/org/landingtrack/internal/base/JsonArrayReader.java
+++ b/landingtrack/src/main/java/org/landingtrack/internal/base/JsonArrayReader.java
@@ -68,7 +68,7 @@
    * Reads an object to the end of a stream.
    *
    * @param arrayName name of the object's field that has the array
-   * @param consumer receives the elements; what it received is invalid if this method throws
+   * @param consumer receives the elements; discard them if this method throws
    * @return the object with an empty array
    * @throws IOException if the stream cannot be read, or does not have one well-formed value
    */
